--- /dev/null
+++ b/lib/src/config_state.rs
@@ -0,0 +1,282 @@
+//! The configuration: documents with versions, changed through a replicated log.
+//!
+//! It is the state machine of the control group. A change names the version it is
+//! based on and carries an id. The first change to commit wins; another that touches
+//! the same document from the same base gets a conflict. A change that is sent again
+//! gets its first answer, whatever happened since.
+//!
+//! Every accepted change raises the version by one. Replicas and entries hold the
+//! same documents, so an entry can catch up from any version with the documents that
+//! changed since.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{prelude::*, workspace_template};
+
+/// Change ids whose first answer is kept.
+const MAX_KEPT_ANSWERS: usize = 10_000;
+/// Changes whose former documents are kept.
+const MAX_KEPT_HISTORY: usize = 2_000;
+
+/// Name of a document: `template/…`, `workspace/…` or `drain/…`.
+pub type DocumentName = String;
+
+/// A document as of its last change.
+#[derive(Data!)]
+pub struct ConfigDocument {
+    /// Configuration version at which it was last changed.
+    pub version: u64,
+    /// Its text, or none when it was removed.
+    pub text: Option<String>,
+}
+
+/// What a change does.
+#[derive(Data!)]
+pub enum ChangeAction {
+    /// Put every template and workspace of a TOML file in force.
+    Publish(String),
+    /// Remove documents.
+    Remove(Vec<DocumentName>),
+    /// Give an endpoint no more work.
+    Drain(EndpointName),
+    /// Give an endpoint work again.
+    Undrain(EndpointName),
+}
+
+/// A change of the configuration, as an operator sends it.
+#[derive(Data!)]
+pub struct ConfigChange {
+    /// Id that is the same each time the change is sent.
+    pub change_id: String,
+    /// Version that the operator has seen.
+    pub base_version: u64,
+    /// What it does.
+    pub action: ChangeAction,
+}
+
+/// A command to the control group.
+#[derive(Data!)]
+pub enum ConfigCommand {
+    /// Change the configuration; the leader's clock.
+    Change(ConfigChange, ClockTime),
+    /// Note that a data centre's ledger was founded.
+    Founding(DataCentre, GenerationId),
+}
+
+/// The answer to a command.
+#[derive(Data!)]
+pub enum ConfigAnswer {
+    /// The change is accepted as this version.
+    Accepted(u64),
+    /// The change is refused.
+    Refused(RequestError),
+    /// The founding is the first that the control group knows of, or a later one.
+    Founding(FoundingRank),
+}
+
+/// Whether a ledger's founding was its data centre's first.
+#[derive(Data!, Copy)]
+pub enum FoundingRank {
+    /// No other founding is known.
+    First,
+    /// Another was known before.
+    Later,
+}
+
+/// A change with its answer, as kept.
+#[derive(Data!)]
+pub struct ChangeRecord {
+    /// Id of the change.
+    pub change_id: String,
+    /// Version that it made.
+    pub version: u64,
+    /// When the leader took it.
+    pub at: ClockTime,
+    /// What it did, for a person.
+    pub summary: String,
+    /// Documents that it touched, as they were before.
+    pub former: Vec<(DocumentName, Option<String>)>,
+}
+
+/// The documents in force, or those that changed since a version.
+#[derive(Data!, Default)]
+pub struct ConfigImage {
+    /// Version in force.
+    pub version: u64,
+    /// Documents by name.
+    pub documents: IndexMap<DocumentName, ConfigDocument>,
+}
+
+impl ConfigImage {
+    /// The documents that changed after `version`.
+    pub fn since(&self, version: u64) -> ConfigImage {
+        let changed = self.documents.iter().filter(|(_, it)| version < it.version);
+        let documents = changed.map(|(name, it)| (name.clone(), it.clone())).collect();
+        ConfigImage { version: self.version, documents }
+    }
+
+    /// Takes documents that changed; older ones are left aside.
+    pub fn merge(&mut self, changed: ConfigImage) {
+        if changed.version <= self.version {
+            return;
+        }
+        self.version = changed.version;
+        for (name, document) in changed.documents {
+            let known = self.documents.get(&name).map_or(0, |it| it.version);
+            if known < document.version {
+                self.documents.insert(name, document);
+            }
+        }
+    }
+
+    /// Names of the drained endpoints.
+    pub fn drained(&self) -> IndexSet<EndpointName> {
+        let live = self.documents.iter().filter(|(_, it)| it.text.is_some());
+        live.filter_map(|(name, _)| name.strip_prefix("drain/")).map(EndpointName::from).collect()
+    }
+
+    fn version_of(&self, name: &str) -> u64 {
+        self.documents.get(name).map_or(0, |it| it.version)
+    }
+
+    fn text_of(&self, name: &str) -> Option<String> {
+        self.documents.get(name).and_then(|it| it.text.clone())
+    }
+}
+
+/// State of the control group.
+#[derive(Data!, Default)]
+pub struct ConfigState {
+    image: ConfigImage,
+    answers: IndexMap<String, ConfigAnswer>,
+    history: Vec<ChangeRecord>,
+    foundings: IndexMap<DataCentre, GenerationId>,
+}
+
+impl ConfigState {
+    /// The state in a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// When the bytes are no such state.
+    pub fn decode(bytes: &[u8]) -> Result<ConfigState, postcard::Error> {
+        postcard::from_bytes(bytes)
+    }
+
+    /// Bytes for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// The documents in force.
+    pub fn image(&self) -> &ConfigImage {
+        &self.image
+    }
+
+    /// Accepted changes that are kept, oldest first.
+    pub fn history(&self) -> &[ChangeRecord] {
+        &self.history
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: ConfigCommand) -> ConfigAnswer {
+        match command {
+            ConfigCommand::Change(change, at) => self.change(change, at),
+            ConfigCommand::Founding(centre, generation) => self.note_founding(centre, generation),
+        }
+    }
+
+    fn note_founding(&mut self, centre: DataCentre, generation: GenerationId) -> ConfigAnswer {
+        let first = *self.foundings.entry(centre).or_insert(generation);
+        let rank = if first == generation { FoundingRank::First } else { FoundingRank::Later };
+        ConfigAnswer::Founding(rank)
+    }
+
+    fn change(&mut self, change: ConfigChange, at: ClockTime) -> ConfigAnswer {
+        if let Some(answer) = self.answers.get(&change.change_id) {
+            return answer.clone();
+        }
+        let former_version = self.image.version;
+        let answer = match self.accept(&change, at) {
+            Ok(version) => ConfigAnswer::Accepted(version),
+            Err(error) => ConfigAnswer::Refused(error),
+        };
+        check_invariant(Invariant::ConfigNeverReverts, former_version <= self.image.version);
+        self.answers.insert(change.change_id, answer.clone());
+        if MAX_KEPT_ANSWERS < self.answers.len() {
+            self.answers.shift_remove_index(0);
+        }
+        answer
+    }
+
+    fn accept(&mut self, change: &ConfigChange, at: ClockTime) -> Result<u64, RequestError> {
+        let touched = documents_of(&change.action)?;
+        self.check_base(change.base_version, &touched)?;
+        let version = self.image.version + 1;
+        let mut image = self.image.clone();
+        let mut former = Vec::new();
+        for (name, text) in touched {
+            former.push((name.clone(), image.text_of(&name)));
+            image.documents.insert(name, ConfigDocument { version, text });
+        }
+        image.version = version;
+        workspace_template::resolve(&image)?;
+        self.image = image;
+        let summary = summary_of(&change.action, &former);
+        let change_id = change.change_id.clone();
+        self.history.push(ChangeRecord { change_id, version, at, summary, former });
+        if MAX_KEPT_HISTORY < self.history.len() {
+            self.history.remove(0);
+        }
+        Ok(version)
+    }
+
+    fn check_base(
+        &self,
+        base_version: u64,
+        touched: &[(DocumentName, Option<String>)],
+    ) -> Result<(), RequestError> {
+        if self.image.version < base_version {
+            let message = format!(
+                "base version {base_version} does not exist yet; version {} is in force",
+                self.image.version
+            );
+            return Err(RequestError::new(ErrorKind::VersionConflict, message));
+        }
+        for (name, _) in touched {
+            let version = self.image.version_of(name);
+            if base_version < version {
+                let message = format!(
+                    "{name} was changed at version {version}, after base version {base_version}"
+                );
+                return Err(RequestError::new(ErrorKind::VersionConflict, message));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn documents_of(
+    action: &ChangeAction,
+) -> Result<Vec<(DocumentName, Option<String>)>, RequestError> {
+    match action {
+        ChangeAction::Publish(text) => {
+            let documents = workspace_template::split_documents(text)?;
+            Ok(documents.into_iter().map(|(name, text)| (name, Some(text))).collect())
+        }
+        ChangeAction::Remove(names) => Ok(names.iter().map(|it| (it.clone(), None)).collect()),
+        ChangeAction::Drain(name) => Ok(vec![(format!("drain/{name}"), Some(String::new()))]),
+        ChangeAction::Undrain(name) => Ok(vec![(format!("drain/{name}"), None)]),
+    }
+}
+
+fn summary_of(action: &ChangeAction, former: &[(DocumentName, Option<String>)]) -> String {
+    let verb = match action {
+        ChangeAction::Publish(_) => "publish",
+        ChangeAction::Remove(_) => "remove",
+        ChangeAction::Drain(_) => "drain",
+        ChangeAction::Undrain(_) => "undrain",
+    };
+    let names: Vec<&str> = former.iter().map(|(name, _)| name.as_str()).collect();
+    format!("{verb} {}", names.join(" "))
+}
--- /dev/null
+++ b/lib/src/dispatch_pass.rs
@@ -0,0 +1,262 @@
+//! One pass over the queue: every task that should start now is handed out.
+
+use indexmap::IndexMap;
+
+use crate::{
+    dispatch_queue::JobRank,
+    endpoint_slots::FlightRecord,
+    job_dispatcher::{DispatchEffect, JobDispatcher},
+    job_run::{JobNumber, PlacementOption, TaskRef},
+    placement_choice::{self, PlacementCandidate, PlacementChoice},
+    prelude::*,
+    quarantine_list::TrustLevel,
+    run_estimates::KindPath,
+};
+
+/// Other endpoints noted in a task's trace.
+const MAX_TRACED_OPTIONS: usize = 3;
+
+/// An endpoint's slots during one pass.
+#[derive(Clone, Copy)]
+struct SlotView {
+    n_slots: u32,
+    n_free: u32,
+    n_outstanding: u32,
+}
+
+impl JobDispatcher {
+    /// Hands out the tasks that should start now.
+    pub(crate) fn dispatch(&mut self, now: ClockTime) {
+        if self.queue.n_tasks() == 0 {
+            return;
+        }
+        self.idle_since = now;
+        let mut views = self.slot_views(now);
+        let lanes = self.queue.ordered_lanes(|path, lane| {
+            f64::from(self.workspace_usage(&path.0)) / f64::from(lane.quota_slots.max(1))
+        });
+        let mut n_ahead = 0;
+        for path in lanes {
+            n_ahead += self.dispatch_lane(&path, &mut views, n_ahead, now);
+        }
+        self.ask_for_slots(now);
+    }
+
+    fn slot_views(&self, now: ClockTime) -> Vec<SlotView> {
+        let views = self.endpoints.iter().map(|(name, slots)| {
+            let trust = if slots.accepts_work {
+                self.quarantine.trust(name, now)
+            } else {
+                TrustLevel::None
+            };
+            SlotView {
+                n_slots: slots.capacity(trust),
+                n_free: slots.n_free(trust, now),
+                n_outstanding: slots.in_flight.len() as u32,
+            }
+        });
+        views.collect()
+    }
+
+    /// Slots that a workspace uses in the data centre, as far as is known.
+    pub(crate) fn workspace_usage(&self, workspace: &WorkspaceName) -> u32 {
+        let own = self.usage.get(workspace).copied().unwrap_or_default();
+        let others = self.peers.values().flat_map(|it| &it.usage);
+        own + others.filter(|(name, _)| name == workspace).map(|(_, n_slots)| n_slots).sum::<u32>()
+    }
+
+    /// Hands out tasks of one lane; returns how many are left waiting.
+    fn dispatch_lane(
+        &mut self,
+        path: &KindPath,
+        views: &mut [SlotView],
+        n_ahead: usize,
+        now: ClockTime,
+    ) -> usize {
+        let mut candidates = self.candidates(path, views);
+        loop {
+            let Some(lane) = self.queue.lane(path) else { return 0 };
+            let (n_tasks, quota_slots) = (lane.n_tasks, lane.quota_slots);
+            if n_tasks == 0 {
+                return 0;
+            }
+            if quota_slots <= self.workspace_usage(&path.0) {
+                self.note_wait(path, "the workspace's quota");
+                return n_tasks;
+            }
+            let rule = self.policy.placement;
+            let choice = placement_choice::choose(rule, &candidates, n_ahead, &mut self.rng);
+            let (idx, n_skipped) = match choice {
+                PlacementChoice::Start(idx) => (idx, 0),
+                PlacementChoice::WaitUnlessBehind(n_before, idx)
+                    if n_before < n_ahead + n_tasks =>
+                {
+                    (idx, n_before - n_ahead)
+                }
+                PlacementChoice::WaitUnlessBehind(..) => {
+                    self.note_wait(path, "a faster endpoint");
+                    return n_tasks;
+                }
+                PlacementChoice::Wait => {
+                    self.note_wait(path, "a free slot");
+                    return n_tasks;
+                }
+            };
+            let Some(job) = self.job_behind(path, n_skipped) else { return n_tasks };
+            self.start_next(path, job, idx, &candidates, now);
+            views[idx].n_free -= 1;
+            views[idx].n_outstanding += 1;
+            for candidate in candidates.iter_mut().filter(|it| it.idx == idx) {
+                candidate.n_free -= 1;
+                candidate.n_outstanding += 1;
+            }
+        }
+    }
+
+    fn candidates(&self, path: &KindPath, views: &[SlotView]) -> Vec<PlacementCandidate> {
+        let spec = self.config.kind(path.0.as_str(), path.1.as_str()).ok();
+        let allowed = self.endpoints.iter().enumerate().filter(|(idx, (name, slots))| {
+            0 < views[*idx].n_slots
+                && slots.serves(&path.1)
+                && spec.is_none_or(|it| it.allows(name.as_str()))
+        });
+        let candidates = allowed.map(|(idx, (name, _))| PlacementCandidate {
+            idx,
+            run_ms: self.estimates.run_ms(path, name),
+            n_slots: views[idx].n_slots,
+            n_free: views[idx].n_free,
+            n_outstanding: views[idx].n_outstanding,
+        });
+        candidates.collect()
+    }
+
+    /// The job of the task with `n_skipped` tasks before it in the lane.
+    fn job_behind(&self, path: &KindPath, n_skipped: usize) -> Option<JobNumber> {
+        let lane = self.queue.lane(path)?;
+        let mut n_left = n_skipped;
+        for rank in &lane.jobs {
+            let n_pending = self.jobs.get(&rank.job)?.pending.get(path)?.len();
+            if n_left < n_pending {
+                return Some(rank.job);
+            }
+            n_left -= n_pending;
+        }
+        None
+    }
+
+    fn start_next(
+        &mut self,
+        path: &KindPath,
+        number: JobNumber,
+        idx: usize,
+        candidates: &[PlacementCandidate],
+        now: ClockTime,
+    ) {
+        let Some((name, slots)) = self.endpoints.get_index(idx) else { return };
+        let name = name.clone();
+        check_invariant(Invariant::EndpointAcceptsWork, slots.accepts_work);
+        let expected_ms = self.estimates.run_ms(path, &name);
+        let options = self.traced_options(idx, candidates);
+        let Some(job) = self.jobs.get_mut(&number) else { return };
+        let rank = JobRank { n_left: job.n_left(), job: number };
+        let Some(pending) = job.pending.get_mut(path) else { return };
+        let Some(task_idx) = pending.pop_front() else { return };
+        let n_kept = pending.len();
+        self.queue.remove(path, rank, 1, n_kept);
+        let id = job.start(task_idx, &name);
+        let trace = &mut job.trace.tasks[task_idx as usize];
+        trace.started_at = Some(now);
+        trace.endpoint = Some(name.clone());
+        trace.expected_ms = expected_ms as u64;
+        trace.options = options;
+        if trace.n_resent == 0 && id.attempt == 0 {
+            self.counts.n_starts += 1;
+            self.budget.earn_start();
+        }
+        *self.usage.entry(path.0.clone()).or_default() += 1;
+        let task = TaskRef { job: number, idx: task_idx };
+        let Some(slots) = self.endpoints.get_mut(&name) else { return };
+        let flight = FlightRecord { kind: path.clone(), started_at: now, expected_ms };
+        slots.in_flight.insert(task, flight);
+        let address = slots.record.address.clone();
+        let connections = slots.record.connections;
+        self.effects.push(DispatchEffect::Start { task, id, endpoint: name, address, connections });
+    }
+
+    fn traced_options(
+        &self,
+        chosen: usize,
+        candidates: &[PlacementCandidate],
+    ) -> Vec<PlacementOption> {
+        let mut others: Vec<&PlacementCandidate> =
+            candidates.iter().filter(|it| it.idx != chosen).collect();
+        others.sort_by(|lhs, rhs| lhs.run_ms.total_cmp(&rhs.run_ms));
+        let options = others.into_iter().take(MAX_TRACED_OPTIONS).filter_map(|it| {
+            let (name, _) = self.endpoints.get_index(it.idx)?;
+            let reason = if it.n_free == 0 { "no free slot" } else { "expected to finish later" };
+            Some(PlacementOption {
+                endpoint: name.clone(),
+                expected_ms: it.run_ms as u64,
+                n_free: it.n_free,
+                reason: reason.to_owned(),
+            })
+        });
+        options.collect()
+    }
+
+    /// Notes for the first waiting job of a lane what it waits for.
+    fn note_wait(&mut self, path: &KindPath, reason: &str) {
+        let Some(lane) = self.queue.lane(path) else { return };
+        let Some(rank) = lane.jobs.first() else { return };
+        let Some(job) = self.jobs.get_mut(&rank.job) else { return };
+        let Some(task_idx) = job.pending.get(path).and_then(|it| it.front()) else { return };
+        let trace = &mut job.trace.tasks[*task_idx as usize];
+        if trace.waited_for.as_deref() != Some(reason) {
+            trace.waited_for = Some(reason.to_owned());
+        }
+    }
+
+    /// Number of endpoints that may serve each kind of a list now, by kind.
+    pub(crate) fn n_serving(&self, path: &KindPath) -> usize {
+        let Ok(spec) = self.config.kind(path.0.as_str(), path.1.as_str()) else { return 0 };
+        let serving = self.endpoints.iter().filter(|(name, slots)| {
+            slots.accepts_work && slots.serves(&path.1) && spec.allows(name.as_str())
+        });
+        serving.count()
+    }
+
+    /// Work waiting in lanes at least as urgent, and slots to do it, weighted by speed.
+    pub(crate) fn lane_work(&self, path: &KindPath, now: ClockTime) -> (f64, f64) {
+        let Ok(spec) = self.config.kind(path.0.as_str(), path.1.as_str()) else {
+            return (0.0, 0.0);
+        };
+        let ahead = self.queue.lanes().filter(|(_, lane)| lane.urgency <= spec.urgency);
+        let work_ms = ahead.map(|(path, lane)| lane.n_tasks as f64 * self.estimates.base_ms(path));
+        let mut speed = 0.0;
+        let mut n_slots = 0;
+        for (name, slots) in &self.endpoints {
+            if slots.accepts_work && slots.serves(&path.1) && spec.allows(name.as_str()) {
+                let capacity = slots.capacity(self.quarantine.trust(name, now));
+                speed += f64::from(capacity) / self.estimates.factor(name);
+                n_slots += capacity;
+            }
+        }
+        if 0 < n_slots {
+            let n_peer_free: u32 = self.peers.values().map(|it| it.n_free).sum();
+            speed += f64::from(n_peer_free) * speed / f64::from(n_slots);
+        }
+        (work_ms.sum(), speed)
+    }
+}
+
+/// Tasks of a job by kind.
+pub(crate) fn tasks_by_kind(
+    workspace: &WorkspaceName,
+    kinds: &[KindName],
+) -> IndexMap<KindPath, usize> {
+    let mut counted = IndexMap::new();
+    for kind in kinds {
+        *counted.entry((workspace.clone(), kind.clone())).or_default() += 1;
+    }
+    counted
+}
--- /dev/null
+++ b/lib/src/endpoint_slots.rs
@@ -0,0 +1,64 @@
+//! An endpoint as the dispatcher sees it: its lease and what runs there.
+
+use indexmap::IndexMap;
+
+use crate::{
+    endpoint_table::EndpointRecord, job_run::TaskRef, prelude::*, quarantine_list::TrustLevel,
+    run_estimates::KindPath, slot_leases::SlotLease,
+};
+
+/// A task handed to an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct FlightRecord {
+    pub(crate) kind: KindPath,
+    pub(crate) started_at: ClockTime,
+    pub(crate) expected_ms: f64,
+}
+
+/// An endpoint with this entry's lease on it.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointSlots {
+    pub(crate) record: EndpointRecord,
+    pub(crate) heard_at: ClockTime,
+    pub(crate) accepts_work: bool,
+    pub(crate) lease: SlotLease,
+    pub(crate) in_flight: IndexMap<TaskRef, FlightRecord>,
+    pub(crate) refused_until: ClockTime,
+}
+
+impl EndpointSlots {
+    /// An endpoint nothing of which is leased yet.
+    pub(crate) fn new(record: EndpointRecord, heard_at: ClockTime) -> EndpointSlots {
+        EndpointSlots {
+            record,
+            heard_at,
+            accepts_work: false,
+            lease: SlotLease::default(),
+            in_flight: IndexMap::new(),
+            refused_until: ClockTime::default(),
+        }
+    }
+
+    /// Slots that this entry may use, within the connections and the trust.
+    pub(crate) fn capacity(&self, trust: TrustLevel) -> u32 {
+        let capacity = self.lease.capacity().min(self.record.connections);
+        match trust {
+            TrustLevel::Full => capacity,
+            TrustLevel::Single => capacity.min(1),
+            TrustLevel::None => 0,
+        }
+    }
+
+    /// Slots of this entry that are free now.
+    pub(crate) fn n_free(&self, trust: TrustLevel, now: ClockTime) -> u32 {
+        if now < self.refused_until {
+            return 0;
+        }
+        self.capacity(trust).saturating_sub(self.in_flight.len() as u32)
+    }
+
+    /// Whether the endpoint takes this kind at all.
+    pub(crate) fn serves(&self, kind: &KindName) -> bool {
+        self.record.kinds.is_empty() || self.record.kinds.contains(kind)
+    }
+}
--- /dev/null
+++ b/lib/src/endpoint_table.rs
@@ -0,0 +1,192 @@
+//! Endpoints as announced, and how entries of a data centre tell each other.
+//!
+//! An endpoint announces itself to any entry of its data centre once a second. That
+//! entry sends the whole announcement to the others when it is new or has changed,
+//! and a short digest while it only stays fresh. An entry that gets a digest it does
+//! not know asks for the whole.
+
+use indexmap::IndexMap;
+
+use crate::prelude::*;
+
+/// Age up to which an announcement counts, in ms.
+pub const FRESH_MS: u64 = 3_000;
+/// Age at which an endpoint is forgotten, in ms.
+const FORGET_MS: u64 = 60_000;
+
+/// What an endpoint says of itself.
+#[derive(Data!)]
+pub struct EndpointRecord {
+    /// Its name.
+    pub name: EndpointName,
+    /// Host and port of its HTTP server.
+    pub address: String,
+    /// Life of the endpoint, growing with each restart.
+    pub incarnation: u64,
+    /// Tasks that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes.
+    pub connections: u32,
+    /// Kinds that it serves; empty for any.
+    pub kinds: Vec<KindName>,
+    /// Worker that it runs on.
+    pub worker: String,
+    /// Rack of the worker.
+    pub rack: String,
+    /// Processors of the worker.
+    pub processors: u32,
+    /// Memory of the worker, in MB.
+    pub memory_mb: u64,
+    /// Whether it leaves: it takes no new work.
+    pub leaving: bool,
+}
+
+impl EndpointRecord {
+    /// Digest of the whole announcement.
+    pub fn digest(&self) -> u64 {
+        let bytes = postcard::to_stdvec(self).unwrap_or_default();
+        let hash = blake3::hash(&bytes);
+        let mut head = [0; 8];
+        head.copy_from_slice(&hash.as_bytes()[..8]);
+        u64::from_be_bytes(head)
+    }
+}
+
+/// An endpoint as this entry knows it.
+#[derive(Data!)]
+pub struct EndpointState {
+    /// Its last announcement.
+    pub record: EndpointRecord,
+    /// Digest of that announcement.
+    pub digest: u64,
+    /// When it was last heard, here or elsewhere.
+    pub heard_at: ClockTime,
+    /// When it was last heard here.
+    pub announced_at: Option<ClockTime>,
+    /// Whether the others have not been sent the whole announcement yet.
+    pub unsent: bool,
+}
+
+/// What entries tell each other of endpoints.
+#[derive(Data!, Default)]
+pub struct EndpointNews {
+    /// Whole announcements.
+    pub whole: Vec<EndpointRecord>,
+    /// Digests of announcements that stay fresh, with their age in ms.
+    pub fresh: Vec<(u64, u16)>,
+    /// Digests whose announcement the sender lacks.
+    pub wanted: Vec<u64>,
+}
+
+/// The endpoints of a data centre.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointTable {
+    endpoints: IndexMap<EndpointName, EndpointState>,
+    by_digest: IndexMap<u64, EndpointName>,
+    version: u64,
+}
+
+impl EndpointTable {
+    /// An empty table.
+    pub fn new() -> EndpointTable {
+        EndpointTable::default()
+    }
+
+    /// Number that grows with each change other than freshness.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointState> {
+        self.endpoints.values()
+    }
+
+    /// Takes an announcement made to this entry.
+    pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) {
+        let name = record.name.clone();
+        if let Some(state) = self.upsert(record, now) {
+            state.announced_at = Some(now);
+        }
+        debug_assert!(self.endpoints.contains_key(&name));
+    }
+
+    /// Takes what another entry tells; returns the answer it asked for, if any.
+    pub fn learn(&mut self, news: EndpointNews, now: ClockTime) -> Option<EndpointNews> {
+        let mut answer = EndpointNews::default();
+        for record in news.whole {
+            if let Some(state) = self.upsert(record, now) {
+                state.unsent = false;
+            }
+        }
+        for (digest, age_ms) in news.fresh {
+            let heard_at = now.minus_ms(u64::from(age_ms));
+            match self.by_digest.get(&digest).and_then(|it| self.endpoints.get_mut(it)) {
+                Some(state) if state.digest == digest => {
+                    state.heard_at = state.heard_at.max(heard_at);
+                }
+                _ => answer.wanted.push(digest),
+            }
+        }
+        for digest in news.wanted {
+            let known = self.by_digest.get(&digest).and_then(|it| self.endpoints.get(it));
+            answer.whole.extend(known.map(|it| it.record.clone()));
+        }
+        let is_empty = answer.whole.is_empty() && answer.wanted.is_empty();
+        if is_empty { None } else { Some(answer) }
+    }
+
+    /// What this entry has to tell the others, once an interval.
+    pub fn take_news(&mut self, now: ClockTime, interval_ms: u64) -> EndpointNews {
+        let mut news = EndpointNews::default();
+        for state in self.endpoints.values_mut() {
+            let Some(announced_at) = state.announced_at else { continue };
+            let age_ms = now.since_ms(announced_at);
+            if std::mem::take(&mut state.unsent) {
+                news.whole.push(state.record.clone());
+            } else if age_ms < interval_ms {
+                news.fresh.push((state.digest, age_ms as u16));
+            }
+        }
+        news
+    }
+
+    /// Forgets endpoints that were not heard for long.
+    pub fn forget_old(&mut self, now: ClockTime) {
+        let n_before = self.endpoints.len();
+        self.endpoints.retain(|_, it| now.since_ms(it.heard_at) < FORGET_MS);
+        let endpoints = &self.endpoints;
+        self.by_digest
+            .retain(|digest, name| endpoints.get(name).is_some_and(|it| it.digest == *digest));
+        if self.endpoints.len() < n_before {
+            self.version += 1;
+        }
+    }
+
+    /// Stores a record unless a newer life or notice is known.
+    fn upsert(&mut self, record: EndpointRecord, now: ClockTime) -> Option<&mut EndpointState> {
+        let digest = record.digest();
+        let name = record.name.clone();
+        if let Some(state) = self.endpoints.get(&name) {
+            let is_older = record.incarnation < state.record.incarnation;
+            // Leaving is final for a life of the endpoint.
+            let is_undone = record.incarnation == state.record.incarnation
+                && state.record.leaving
+                && !record.leaving;
+            if is_older || is_undone {
+                return None;
+            }
+        }
+        let is_changed = self.endpoints.get(&name).is_none_or(|it| it.digest != digest);
+        if is_changed {
+            self.version += 1;
+            self.by_digest.insert(digest, name.clone());
+            let announced_at = self.endpoints.get(&name).and_then(|it| it.announced_at);
+            let state = EndpointState { record, digest, heard_at: now, announced_at, unsent: true };
+            self.endpoints.insert(name.clone(), state);
+        }
+        let state = self.endpoints.get_mut(&name)?;
+        state.heard_at = now;
+        Some(state)
+    }
+}
--- /dev/null
+++ b/lib/src/entry_node.rs
@@ -0,0 +1,628 @@
+//! The control state of an entry: ledgers, peers, endpoints and configuration.
+//!
+//! One thread owns it. Each entry point takes the time and one event; effects are
+//! drained with [`EntryNode::take_effects`]. Traffic talks to it by calls, whose ends
+//! come back as effects.
+
+use indexmap::IndexMap;
+
+use crate::{
+    config_state::{ConfigAnswer, ConfigCommand, ConfigImage, FoundingRank},
+    endpoint_table::{EndpointRecord, EndpointTable},
+    job_dispatcher::PeerLoad,
+    job_ledger::{JobClaim, JobOutcome, LedgerAnswer, LedgerCommand, LedgerLimits, OwnerId},
+    ledger_group::{LedgerEffect, LedgerGroup},
+    log_group::{ProposalAnswer, ProposalWaiter},
+    peer_message::{PeerDatagram, PeerMessage},
+    peer_table::{PeerHeartbeat, PeerTable},
+    prelude::*,
+    proposal_client::{GroupRequest, ProposalClient, RequestEnd, RequestSend},
+    replica_node::{FoundingRule, LeaderRule, ReplicaNode, ReplicaRole, ReplicaSettings},
+    slot_leases::LeaseMessage,
+    vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
+    workspace_template::{self, ResolvedConfig},
+};
+
+/// Time between heartbeats within a data centre, in ms.
+const NEAR_HEARTBEAT_MS: u64 = 200;
+/// Heartbeats within a data centre for each one to other data centres.
+const FAR_HEARTBEAT_EVERY: u64 = 5;
+/// Time between comparisons of configuration versions, in ms.
+const CONFIG_PULL_MS: u64 = 1_000;
+/// Time after the start for which a VM listens before it takes work, in ms.
+const LISTEN_MS: u64 = 1_000;
+/// Time that a call may take unless it states another, in ms.
+pub const CALL_MS: u64 = 3_000;
+
+/// Settings of an entry's control state.
+#[derive(Data!)]
+pub struct EntrySettings {
+    /// This process.
+    pub owner: OwnerId,
+    /// All VMs.
+    pub layout: VmLayout,
+    /// Limits of the ledgers.
+    pub limits: LedgerLimits,
+    /// Shortest silence of a leader before an election, in ms.
+    pub election_ms: u64,
+    /// Time between a leader's heartbeats, in ms.
+    pub heartbeat_ms: u64,
+    /// Seed of all jitter.
+    pub seed: u64,
+}
+
+/// Number of a call from traffic.
+#[derive(Id!, Copy)]
+pub struct CallNumber(pub u64);
+
+/// What traffic asks of a ledger.
+#[derive(Data!)]
+pub enum LedgerCall {
+    /// Claim a key.
+    Claim(JobClaim),
+    /// Record an outcome.
+    Settle(JobClaim, JobOutcome),
+    /// Ask for a key.
+    Probe(JobKey),
+    /// Wait for an outcome.
+    Await(JobKey),
+}
+
+impl LedgerCall {
+    fn key(&self) -> &JobKey {
+        match self {
+            LedgerCall::Claim(claim) | LedgerCall::Settle(claim, _) => &claim.key,
+            LedgerCall::Probe(key) | LedgerCall::Await(key) => key,
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Data!)]
+pub enum CallEnd {
+    /// The ledger's answer.
+    Answered(LedgerAnswer),
+    /// The job's outcome, or none when the ledger does not know of it.
+    Awaited(Option<JobOutcome>),
+    /// The ledger could not be reached in time.
+    Unreachable,
+}
+
+/// Something for the surroundings to do.
+#[derive(Data!)]
+pub enum EntryEffect {
+    /// Send a message by TCP.
+    Send(VmName, PeerMessage),
+    /// Send a message by UDP.
+    SendDatagram(VmName, PeerDatagram),
+    /// A call has ended.
+    EndCall(CallNumber, CallEnd),
+    /// A configuration is in force.
+    UseConfig(ResolvedConfig),
+    /// A message about leases has come.
+    TakeLease(VmName, LeaseMessage),
+    /// Another entry of the data centre has told its load.
+    TakeLoad(VmName, PeerLoad),
+    /// A job is no longer wanted.
+    Cancel(JobKey),
+    /// A ledger's role on this VM has changed.
+    Role(GroupName, ReplicaRole),
+    /// A ledger's replica on this VM began another life.
+    Reborn(GroupName, ReplicaId),
+}
+
+/// Why a request of this VM was sent.
+#[derive(Clone, Debug)]
+enum RequestPurpose {
+    Call(CallNumber),
+    Founding(GroupName, GenerationId),
+}
+
+/// The control state of an entry.
+pub struct EntryNode {
+    settings: EntrySettings,
+    centre: DataCentre,
+    centres: Vec<DataCentre>,
+    group_vms: IndexMap<GroupName, Vec<VmName>>,
+    ledgers: IndexMap<GroupName, LedgerGroup>,
+    client: ProposalClient,
+    purposes: IndexMap<u64, RequestPurpose>,
+    founding_noted: IndexMap<GroupName, GenerationId>,
+    peers: PeerTable,
+    endpoints: EndpointTable,
+    image: ConfigImage,
+    load: PeerLoad,
+    stopping: bool,
+    was_ready: bool,
+    started_at: ClockTime,
+    heartbeat_at: ClockTime,
+    n_heartbeats: u64,
+    pulled_at: ClockTime,
+    effects: Vec<EntryEffect>,
+}
+
+impl EntryNode {
+    /// The state right after a start.
+    ///
+    /// # Panics
+    ///
+    /// When the layout does not name this VM.
+    pub fn new(settings: EntrySettings, now: ClockTime) -> EntryNode {
+        let layout = &settings.layout;
+        let own = layout.vm(&settings.owner.vm).expect("the layout names this VM");
+        let centre = own.centre.clone();
+        let centres = layout.centres();
+        let mut group_vms = IndexMap::new();
+        let mut ledgers = IndexMap::new();
+        for home in &centres {
+            let group = GroupName::from(home.as_str());
+            let vms = layout.ledger_vms(home);
+            if vms.contains(&settings.owner.vm) {
+                let ledger = new_ledger(&settings, home == &centre, &vms, now);
+                ledgers.insert(group.clone(), ledger);
+            }
+            group_vms.insert(group, vms);
+        }
+        group_vms.insert(GroupName::from(CONTROL_GROUP), layout.with_role(VmRole::Control));
+        EntryNode {
+            client: ProposalClient::new(now.0 << 20),
+            settings,
+            centre,
+            centres,
+            group_vms,
+            ledgers,
+            purposes: IndexMap::new(),
+            founding_noted: IndexMap::new(),
+            peers: PeerTable::new(),
+            endpoints: EndpointTable::new(),
+            image: ConfigImage::default(),
+            load: PeerLoad::default(),
+            stopping: false,
+            was_ready: false,
+            started_at: now,
+            heartbeat_at: now,
+            n_heartbeats: 0,
+            pulled_at: now,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Drains the effects since the last call, in order.
+    pub fn take_effects(&mut self) -> Vec<EntryEffect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The data centre of this entry.
+    pub fn centre(&self) -> &DataCentre {
+        &self.centre
+    }
+
+    /// The ledgers with a replica here.
+    pub fn ledgers(&self) -> &IndexMap<GroupName, LedgerGroup> {
+        &self.ledgers
+    }
+
+    /// The other VMs.
+    pub fn peers(&self) -> &PeerTable {
+        &self.peers
+    }
+
+    /// The endpoints of the data centre.
+    pub fn endpoints(&self) -> &EndpointTable {
+        &self.endpoints
+    }
+
+    /// Configuration version in force.
+    pub fn config_version(&self) -> u64 {
+        self.image.version
+    }
+
+    /// Requests to ledgers sent more than once.
+    pub fn n_resent(&self) -> u64 {
+        self.client.n_resent()
+    }
+
+    /// Entries of the data centre that are alive and take work, this one included.
+    pub fn members(&self, now: ClockTime) -> Vec<VmName> {
+        let mut members = self.peers.alive_in(&self.centre, now);
+        members.retain(|it| self.settings.layout.vm(it).is_some_and(|it| it.role == VmRole::Entry));
+        if !self.stopping {
+            members.push(self.settings.owner.vm.clone());
+        }
+        members.sort();
+        members.dedup();
+        members
+    }
+
+    /// Why this entry does not take work, if it does not.
+    ///
+    /// It must hold the highest configuration version that its reachable peers report
+    /// and its own ledger must serve. Once ready, it stays so while the ledger serves.
+    pub fn check_ready(&mut self, now: ClockTime) -> Result<(), RequestError> {
+        let refuse = |message: &str| Err(RequestError::new(ErrorKind::NotReady, message));
+        if self.stopping {
+            return Err(RequestError::new(ErrorKind::ShuttingDown, "the VM is shutting down"));
+        }
+        if now.since_ms(self.started_at) < LISTEN_MS {
+            return refuse("the VM has just started");
+        }
+        let highest = self.peers.highest_version(now).map_or(0, |(version, _)| version);
+        if !self.was_ready && self.image.version < highest {
+            return refuse("the VM does not hold the configuration in force yet");
+        }
+        let group = GroupName::from(self.centre.as_str());
+        if !self.ledgers.get(&group).is_some_and(|it| it.is_serving(now)) {
+            return refuse("the data centre's ledger has no leader yet");
+        }
+        self.was_ready = true;
+        Ok(())
+    }
+
+    /// Says that this VM takes no new work.
+    pub fn stop(&mut self, now: ClockTime) {
+        self.stopping = true;
+        self.heartbeat_at = now;
+        self.tick(now);
+    }
+
+    /// Notes the dispatcher's load, for the next heartbeat.
+    pub fn set_load(&mut self, load: PeerLoad) {
+        self.load = load;
+    }
+
+    /// Takes an endpoint's announcement; returns whether it is drained.
+    pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> bool {
+        let is_drained = self.image.drained().contains(&record.name);
+        self.endpoints.announce(record, now);
+        is_drained
+    }
+
+    /// Begins a call to the ledger of its key's home.
+    pub fn call(&mut self, number: CallNumber, call: LedgerCall, span_ms: u64, now: ClockTime) {
+        let Some(home) = call.key().home(&self.centres) else {
+            self.effects.push(EntryEffect::EndCall(number, CallEnd::Unreachable));
+            return;
+        };
+        let group = GroupName::from(home.as_str());
+        let request = match call {
+            LedgerCall::Claim(claim) => ledger_request(LedgerCommand::Claim(claim)),
+            LedgerCall::Settle(claim, outcome) => {
+                ledger_request(LedgerCommand::Settle(claim, outcome))
+            }
+            LedgerCall::Probe(key) => ledger_request(LedgerCommand::Probe(key)),
+            LedgerCall::Await(key) => GroupRequest::Await(key),
+        };
+        self.begin_request(&group, request, RequestPurpose::Call(number), span_ms, now);
+    }
+
+    fn begin_request(
+        &mut self,
+        group: &GroupName,
+        request: GroupRequest,
+        purpose: RequestPurpose,
+        span_ms: u64,
+        now: ClockTime,
+    ) {
+        let vms = self.group_vms.get(group).map_or(&[][..], Vec::as_slice);
+        let deadline = now.plus_ms(span_ms);
+        let (request_number, send) = self.client.begin(group, request, vms, deadline, now);
+        self.purposes.insert(request_number, purpose);
+        self.send_requests(send, now);
+    }
+
+    fn send_requests(&mut self, sends: impl IntoIterator<Item = RequestSend>, now: ClockTime) {
+        for (vm, group, number, request) in sends {
+            let waiter = ProposalWaiter { vm: self.settings.owner.vm.clone(), request: number };
+            if vm == waiter.vm {
+                self.take_request(&group, waiter, request, now);
+                continue;
+            }
+            let message = match request {
+                GroupRequest::Propose(command) => PeerMessage::Propose(group, number, command),
+                GroupRequest::Await(key) => PeerMessage::Await(group, number, key),
+            };
+            self.effects.push(EntryEffect::Send(vm, message));
+        }
+    }
+
+    /// Hands a request to the local replica of its group.
+    fn take_request(
+        &mut self,
+        group: &GroupName,
+        waiter: ProposalWaiter,
+        request: GroupRequest,
+        now: ClockTime,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(group) else { return };
+        match request {
+            GroupRequest::Propose(bytes) => {
+                let Ok(command) = postcard::from_bytes::<LedgerCommand>(&bytes) else { return };
+                ledger.propose(waiter, command, now);
+            }
+            GroupRequest::Await(key) => ledger.wait_for(waiter, &key),
+        }
+        self.carry_out(now);
+    }
+
+    /// Takes a message that came by TCP.
+    pub fn receive(&mut self, from: &VmName, message: PeerMessage, now: ClockTime) {
+        match message {
+            PeerMessage::Replica(group, message) => {
+                if let Some(ledger) = self.ledgers.get_mut(&group) {
+                    ledger.receive(message, now);
+                    self.carry_out(now);
+                }
+            }
+            PeerMessage::Propose(group, request, command) => {
+                let waiter = ProposalWaiter { vm: from.clone(), request };
+                self.take_request(&group, waiter, GroupRequest::Propose(command), now);
+            }
+            PeerMessage::Await(group, request, key) => {
+                let waiter = ProposalWaiter { vm: from.clone(), request };
+                self.take_request(&group, waiter, GroupRequest::Await(key), now);
+            }
+            PeerMessage::Proposed(request, answer) => self.take_answer(request, from, answer, now),
+            PeerMessage::Awaited(request, outcome) => self.take_awaited(request, outcome),
+            PeerMessage::Cancel(key) => self.effects.push(EntryEffect::Cancel(key)),
+            PeerMessage::Lease(message) => {
+                self.effects.push(EntryEffect::TakeLease(from.clone(), message));
+            }
+            PeerMessage::ConfigPull(version) => {
+                if version < self.image.version {
+                    let changed = self.image.since(version);
+                    let message = PeerMessage::ConfigPush(changed);
+                    self.effects.push(EntryEffect::Send(from.clone(), message));
+                }
+            }
+            PeerMessage::ConfigPush(changed) => self.take_config(changed),
+        }
+    }
+
+    fn take_config(&mut self, changed: ConfigImage) {
+        if changed.version <= self.image.version {
+            return;
+        }
+        let former_version = self.image.version;
+        self.image.merge(changed);
+        check_invariant(Invariant::ConfigNeverReverts, former_version < self.image.version);
+        // The control group accepts no change that does not resolve.
+        if let Ok(config) = workspace_template::resolve(&self.image) {
+            self.effects.push(EntryEffect::UseConfig(config));
+        }
+    }
+
+    fn take_answer(&mut self, request: u64, from: &VmName, answer: ProposalAnswer, now: ClockTime) {
+        let (end, send) = self.client.take_answer(request, from, answer, now);
+        self.send_requests(send, now);
+        let Some(RequestEnd::Applied(bytes)) = end else { return };
+        let Some(purpose) = self.purposes.swap_remove(&request) else { return };
+        match purpose {
+            RequestPurpose::Call(number) => {
+                let end = match postcard::from_bytes::<LedgerAnswer>(&bytes) {
+                    Ok(answer) => CallEnd::Answered(answer),
+                    Err(_) => CallEnd::Unreachable,
+                };
+                self.effects.push(EntryEffect::EndCall(number, end));
+            }
+            RequestPurpose::Founding(group, generation) => {
+                let answer = postcard::from_bytes::<ConfigAnswer>(&bytes);
+                if answer == Ok(ConfigAnswer::Founding(FoundingRank::First)) {
+                    self.open_timeless(&group, generation, now);
+                }
+            }
+        }
+    }
+
+    fn take_awaited(&mut self, request: u64, outcome: Option<JobOutcome>) {
+        self.client.end(request);
+        if let Some(RequestPurpose::Call(number)) = self.purposes.swap_remove(&request) {
+            self.effects.push(EntryEffect::EndCall(number, CallEnd::Awaited(outcome)));
+        }
+    }
+
+    /// Takes a message that came by UDP.
+    pub fn receive_datagram(&mut self, from: &VmName, datagram: PeerDatagram, now: ClockTime) {
+        match datagram {
+            PeerDatagram::Heartbeat(heartbeat) => {
+                if heartbeat.owner.vm != *from {
+                    return;
+                }
+                if heartbeat.centre == self.centre {
+                    let load = heartbeat.load.clone();
+                    self.effects.push(EntryEffect::TakeLoad(from.clone(), load));
+                }
+                self.peers.take(heartbeat, now);
+            }
+            PeerDatagram::News(news) => {
+                if let Some(answer) = self.endpoints.learn(news, now) {
+                    let datagram = PeerDatagram::News(answer);
+                    self.effects.push(EntryEffect::SendDatagram(from.clone(), datagram));
+                }
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: ClockTime) {
+        for ledger in self.ledgers.values_mut() {
+            ledger.tick(&self.peers, &self.settings.owner.vm, now);
+        }
+        self.carry_out(now);
+        self.note_foundings(now);
+        self.tick_client(now);
+        if self.heartbeat_at <= now {
+            self.heartbeat_at = now.plus_ms(NEAR_HEARTBEAT_MS);
+            self.send_heartbeats();
+            self.send_news(now);
+            self.endpoints.forget_old(now);
+        }
+        if CONFIG_PULL_MS <= now.since_ms(self.pulled_at) {
+            self.pulled_at = now;
+            self.pull_config(now);
+        }
+    }
+
+    fn tick_client(&mut self, now: ClockTime) {
+        let group_vms = &self.group_vms;
+        let vms_of = |group: &GroupName| group_vms.get(group).map_or(&[][..], Vec::as_slice);
+        let (sends, expired) = self.client.tick(vms_of, now);
+        self.send_requests(sends, now);
+        for request in expired {
+            if let Some(RequestPurpose::Call(number)) = self.purposes.swap_remove(&request) {
+                self.effects.push(EntryEffect::EndCall(number, CallEnd::Unreachable));
+            }
+        }
+    }
+
+    /// Sends what was proposed to ledgers led here.
+    pub fn flush(&mut self, now: ClockTime) {
+        for ledger in self.ledgers.values_mut() {
+            ledger.flush(now);
+        }
+        self.carry_out(now);
+    }
+
+    fn carry_out(&mut self, now: ClockTime) {
+        for idx in 0..self.ledgers.len() {
+            let Some((group, ledger)) = self.ledgers.get_index_mut(idx) else { continue };
+            let group = group.clone();
+            for effect in ledger.take_effects() {
+                self.carry_out_effect(&group, effect, now);
+            }
+        }
+    }
+
+    fn carry_out_effect(&mut self, group: &GroupName, effect: LedgerEffect, now: ClockTime) {
+        let own_vm = self.settings.owner.vm.clone();
+        match effect {
+            LedgerEffect::Send(vm, message) => {
+                let message = PeerMessage::Replica(group.clone(), message);
+                self.effects.push(EntryEffect::Send(vm, message));
+            }
+            LedgerEffect::Answer(waiter, answer) if waiter.vm == own_vm => {
+                self.take_answer(waiter.request, &own_vm, answer, now);
+            }
+            LedgerEffect::Answer(waiter, answer) => {
+                let message = PeerMessage::Proposed(waiter.request, answer);
+                self.effects.push(EntryEffect::Send(waiter.vm, message));
+            }
+            LedgerEffect::Awaited(waiter, outcome) if waiter.vm == own_vm => {
+                self.take_awaited(waiter.request, outcome);
+            }
+            LedgerEffect::Awaited(waiter, outcome) => {
+                let message = PeerMessage::Awaited(waiter.request, outcome);
+                self.effects.push(EntryEffect::Send(waiter.vm, message));
+            }
+            LedgerEffect::Role(role) => {
+                self.effects.push(EntryEffect::Role(group.clone(), role));
+            }
+            LedgerEffect::Reborn(id) => {
+                self.effects.push(EntryEffect::Reborn(group.clone(), id));
+            }
+        }
+    }
+
+    /// Tells the control group of foundings, so that keys without a time can be opened.
+    fn note_foundings(&mut self, now: ClockTime) {
+        let mut unknown = Vec::new();
+        for (group, ledger) in &self.ledgers {
+            let Some(generation) = ledger.node().generation() else { continue };
+            let is_noted = self.founding_noted.get(group) == Some(&generation);
+            if !is_noted && ledger.node().is_settled_leader() && !ledger.ledger().is_timeless_open()
+            {
+                unknown.push((group.clone(), generation));
+            }
+        }
+        for (group, generation) in unknown {
+            self.founding_noted.insert(group.clone(), generation);
+            let centre = DataCentre::from(group.as_str());
+            let command = ConfigCommand::Founding(centre, generation);
+            let bytes = postcard::to_stdvec(&command).unwrap_or_default();
+            let purpose = RequestPurpose::Founding(group, generation);
+            let control = GroupName::from(CONTROL_GROUP);
+            let span_ms = u64::MAX / 4;
+            self.begin_request(&control, GroupRequest::Propose(bytes), purpose, span_ms, now);
+        }
+    }
+
+    fn open_timeless(&mut self, group: &GroupName, generation: GenerationId, now: ClockTime) {
+        let own_vm = self.settings.owner.vm.clone();
+        let Some(ledger) = self.ledgers.get_mut(group) else { return };
+        if ledger.node().generation() == Some(generation) {
+            let waiter = ProposalWaiter { vm: own_vm, request: 0 };
+            ledger.propose(waiter, LedgerCommand::OpenTimeless, now);
+        }
+        if !ledger.node().is_settled_leader() {
+            // Another replica leads by now and will ask again itself.
+            self.founding_noted.swap_remove(group);
+        }
+    }
+
+    fn send_heartbeats(&mut self) {
+        self.n_heartbeats += 1;
+        let is_far_turn = self.n_heartbeats.is_multiple_of(FAR_HEARTBEAT_EVERY);
+        let near = PeerHeartbeat {
+            owner: self.settings.owner.clone(),
+            centre: self.centre.clone(),
+            config_version: self.image.version,
+            stopping: self.stopping,
+            load: self.load.clone(),
+        };
+        let far = PeerHeartbeat { load: PeerLoad::default(), ..near.clone() };
+        for vm in self.settings.layout.vms() {
+            let is_near = vm.centre == self.centre;
+            if vm.name == self.settings.owner.vm || (!is_near && !is_far_turn) {
+                continue;
+            }
+            let heartbeat = if is_near { near.clone() } else { far.clone() };
+            let datagram = PeerDatagram::Heartbeat(heartbeat);
+            self.effects.push(EntryEffect::SendDatagram(vm.name.clone(), datagram));
+        }
+    }
+
+    fn send_news(&mut self, now: ClockTime) {
+        let news = self.endpoints.take_news(now, NEAR_HEARTBEAT_MS);
+        if news.whole.is_empty() && news.fresh.is_empty() {
+            return;
+        }
+        for vm in self.settings.layout.entries_in(&self.centre) {
+            if vm != self.settings.owner.vm {
+                let datagram = PeerDatagram::News(news.clone());
+                self.effects.push(EntryEffect::SendDatagram(vm, datagram));
+            }
+        }
+    }
+
+    /// Asks the VM with the highest version for what changed, or a control VM in turn.
+    fn pull_config(&mut self, now: ClockTime) {
+        let highest = self.peers.highest_version(now);
+        let behind = highest.filter(|(version, _)| self.image.version < *version);
+        if let Some((_, vm)) = behind {
+            let message = PeerMessage::ConfigPull(self.image.version);
+            self.effects.push(EntryEffect::Send(vm.clone(), message));
+        }
+    }
+}
+
+fn new_ledger(
+    settings: &EntrySettings,
+    is_home: bool,
+    vms: &[VmName],
+    now: ClockTime,
+) -> LedgerGroup {
+    let replica_settings = ReplicaSettings {
+        vms: vms.to_vec(),
+        leader_rule: if is_home { LeaderRule::MayLead } else { LeaderRule::Witness },
+        founding_rule: FoundingRule::Majority,
+        election_ms: settings.election_ms,
+        heartbeat_ms: settings.heartbeat_ms,
+        clock_skew_ms: settings.limits.clock_skew_ms,
+        seed: settings.seed,
+    };
+    let id = ReplicaId { vm: settings.owner.vm.clone(), incarnation: settings.owner.incarnation };
+    LedgerGroup::new(ReplicaNode::new_fresh(replica_settings, id, now), settings.limits)
+}
+
+fn ledger_request(command: LedgerCommand) -> GroupRequest {
+    GroupRequest::Propose(postcard::to_stdvec(&command).unwrap_or_default())
+}
--- /dev/null
+++ b/lib/src/job_dispatcher.rs
@@ -0,0 +1,536 @@
+//! The dispatcher of one entry: jobs in, tasks to endpoints, answers out.
+//!
+//! Each entry point takes the time and one event and appends to a list of effects.
+//! Only jobs whose claim was granted come here, and only this dispatcher starts their
+//! tasks. A task leaves the state "waiting" when it is handed out and comes back to it
+//! only on proof that it did not start, or as another attempt when it is idempotent.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use bytes::Bytes;
+use indexmap::{IndexMap, IndexSet};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    dispatch_queue::{DispatchQueue, JobRank},
+    endpoint_slots::EndpointSlots,
+    endpoint_table::{EndpointState, FRESH_MS},
+    job_run::{JobNumber, JobRun, JobSpec, JobTrace, RepeatRule, TaskRef, TaskReport, TaskState},
+    policy_settings::PolicySettings,
+    prelude::*,
+    quarantine_list::QuarantineList,
+    retry_budget::RetryBudget,
+    run_estimates::RunEstimates,
+    slot_leases::{self, LeaseMessage},
+    workspace_template::ResolvedConfig,
+};
+
+/// Ended jobs whose trace is kept.
+const MAX_KEPT_TRACES: usize = 2_000;
+/// Time for which an endpoint that refused gets nothing more, in ms.
+const REFUSED_PAUSE_MS: u64 = 5;
+
+/// Something for the surroundings to do.
+#[derive(Data!)]
+pub enum DispatchEffect {
+    /// Send a task to an endpoint.
+    Start {
+        /// The task.
+        task: TaskRef,
+        /// Its id at the endpoint.
+        id: TaskId,
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// Its host and port.
+        address: String,
+        /// Connections that it takes.
+        connections: u32,
+    },
+    /// Answer a job: its outputs in order, or why there are none.
+    Finish(JobNumber, Result<Vec<Bytes>, RequestError>),
+    /// Tell an endpoint that tasks are of no more use.
+    CancelTasks(EndpointName, String, Vec<TaskId>),
+    /// Send a message about leases to another entry.
+    Lease(VmName, LeaseMessage),
+}
+
+/// Counts that the dispatcher keeps.
+#[derive(Data!, Default, Copy)]
+pub struct DispatchCounts {
+    /// First starts of tasks.
+    pub n_starts: u64,
+    /// Starts again after a proof of no start.
+    pub n_resent: u64,
+    /// Further attempts of idempotent tasks.
+    pub n_repeated: u64,
+    /// Refusals by endpoints.
+    pub n_refused: u64,
+    /// Tasks not written to any connection.
+    pub n_not_written: u64,
+    /// Tasks lost after they were written.
+    pub n_lost: u64,
+    /// Failures reported by endpoints.
+    pub n_failed: u64,
+    /// Tasks finished.
+    pub n_done: u64,
+    /// Lease messages sent.
+    pub n_lease_messages: u64,
+    /// Cancel messages sent.
+    pub n_cancel_messages: u64,
+}
+
+/// What other entries of the data centre say of their load.
+#[derive(Data!, Default)]
+pub struct PeerLoad {
+    /// Slots that are free there.
+    pub n_free: u32,
+    /// Slots in use by workspace.
+    pub usage: Vec<(WorkspaceName, u32)>,
+}
+
+/// The dispatcher of one entry.
+#[derive(Debug)]
+pub struct JobDispatcher {
+    pub(crate) vm: VmName,
+    pub(crate) policy: PolicySettings,
+    pub(crate) config: ResolvedConfig,
+    pub(crate) endpoints: IndexMap<EndpointName, EndpointSlots>,
+    pub(crate) members: Vec<VmName>,
+    pub(crate) peers: IndexMap<VmName, PeerLoad>,
+    pub(crate) queue: DispatchQueue,
+    pub(crate) jobs: IndexMap<JobNumber, JobRun>,
+    by_key: IndexMap<JobKey, JobNumber>,
+    deadlines: BTreeSet<(ClockTime, JobNumber)>,
+    pub(crate) usage: IndexMap<WorkspaceName, u32>,
+    pub(crate) estimates: RunEstimates,
+    pub(crate) quarantine: QuarantineList,
+    pub(crate) budget: RetryBudget,
+    pub(crate) counts: DispatchCounts,
+    cancels: IndexMap<EndpointName, Vec<TaskId>>,
+    parked: VecDeque<TaskRef>,
+    traces: IndexMap<JobKey, JobTrace>,
+    pub(crate) asked_at: IndexMap<VmName, ClockTime>,
+    pub(crate) recalled: IndexSet<VmName>,
+    pub(crate) idle_since: ClockTime,
+    ticked_at: ClockTime,
+    next_job: u64,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) effects: Vec<DispatchEffect>,
+}
+
+impl JobDispatcher {
+    /// A dispatcher without endpoints.
+    pub fn new(vm: VmName, policy: PolicySettings, seed: u64) -> JobDispatcher {
+        JobDispatcher {
+            members: vec![vm.clone()],
+            vm,
+            policy,
+            config: ResolvedConfig::default(),
+            endpoints: IndexMap::new(),
+            peers: IndexMap::new(),
+            queue: DispatchQueue::new(policy.order),
+            jobs: IndexMap::new(),
+            by_key: IndexMap::new(),
+            deadlines: BTreeSet::new(),
+            usage: IndexMap::new(),
+            estimates: RunEstimates::new(),
+            quarantine: QuarantineList::new(policy.quarantine),
+            budget: RetryBudget::new(),
+            counts: DispatchCounts::default(),
+            cancels: IndexMap::new(),
+            parked: VecDeque::new(),
+            traces: IndexMap::new(),
+            asked_at: IndexMap::new(),
+            recalled: IndexSet::new(),
+            idle_since: ClockTime::default(),
+            ticked_at: ClockTime::default(),
+            next_job: 1,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Drains the effects since the last call, in order.
+    pub fn take_effects(&mut self) -> Vec<DispatchEffect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Counts so far.
+    pub fn counts(&self) -> DispatchCounts {
+        self.counts
+    }
+
+    /// Jobs that have not ended.
+    pub fn n_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Tasks that wait.
+    pub fn n_queued(&self) -> usize {
+        self.queue.n_tasks()
+    }
+
+    /// Tasks that run at endpoints.
+    pub fn n_in_flight(&self) -> usize {
+        self.endpoints.values().map(|it| it.in_flight.len()).sum()
+    }
+
+    /// Quarantines so far.
+    pub fn n_quarantines(&self) -> u64 {
+        self.quarantine.n_quarantines()
+    }
+
+    /// What became of a job, running or among the last that ended.
+    pub fn trace(&self, key: &JobKey) -> Option<&JobTrace> {
+        let running = self.by_key.get(key).and_then(|it| self.jobs.get(it)).map(|it| &it.trace);
+        running.or_else(|| self.traces.get(key))
+    }
+
+    /// This entry's load, for the others.
+    pub fn own_load(&self, now: ClockTime) -> PeerLoad {
+        let free = self
+            .endpoints
+            .iter()
+            .filter(|(_, it)| it.accepts_work)
+            .map(|(name, it)| it.n_free(self.quarantine.trust(name, now), now));
+        let usage = self.usage.iter().filter(|(_, n_slots)| 0 < **n_slots);
+        PeerLoad {
+            n_free: if self.queue.n_tasks() == 0 { free.sum() } else { 0 },
+            usage: usage.map(|(name, n_slots)| (name.clone(), *n_slots)).collect(),
+        }
+    }
+
+    /// Notes what another entry says of its load.
+    pub fn set_peer_load(&mut self, vm: &VmName, load: PeerLoad) {
+        self.peers.insert(vm.clone(), load);
+    }
+
+    /// Takes a configuration into force.
+    pub fn set_config(&mut self, config: ResolvedConfig, now: ClockTime) {
+        check_invariant(Invariant::ConfigNeverReverts, self.config.version <= config.version);
+        self.config = config;
+        for (workspace, spec) in &self.config.workspaces {
+            for (kind, kind_spec) in &spec.kinds {
+                let path = (workspace.clone(), kind.clone());
+                self.estimates.hint(&path, kind_spec.expected_ms);
+                self.queue.set_lane(&path, kind_spec.urgency, spec.quota_slots);
+            }
+        }
+        self.refresh_acceptance(now);
+        self.dispatch(now);
+    }
+
+    /// Takes the endpoints as announced and the entries that are alive, this one included.
+    pub fn set_endpoints<'a>(
+        &mut self,
+        states: impl Iterator<Item = &'a EndpointState>,
+        members: &[VmName],
+        now: ClockTime,
+    ) {
+        let mut seen = IndexSet::new();
+        for state in states {
+            let name = &state.record.name;
+            seen.insert(name.clone());
+            let slots = self
+                .endpoints
+                .entry(name.clone())
+                .or_insert_with(|| EndpointSlots::new(state.record.clone(), state.heard_at));
+            slots.heard_at = state.heard_at;
+            if slots.record != state.record {
+                slots.record = state.record.clone();
+            }
+        }
+        self.endpoints.retain(|name, it| seen.contains(name) || !it.in_flight.is_empty());
+        self.estimates.retain_endpoints(|it| seen.contains(it));
+        self.quarantine.retain_endpoints(|it| seen.contains(it));
+        self.members = members.to_vec();
+        self.peers.retain(|vm, _| members.contains(vm));
+        for (name, slots) in &mut self.endpoints {
+            let n_slots = slots.record.slots;
+            let share =
+                slot_leases::slot_share(self.policy.leases, name, n_slots, &self.vm, members);
+            slots.lease.set_share(share, |it| members.contains(it));
+        }
+        self.refresh_acceptance(now);
+        self.dispatch(now);
+    }
+
+    fn refresh_acceptance(&mut self, now: ClockTime) {
+        for (name, slots) in &mut self.endpoints {
+            let is_fresh = now.since_ms(slots.heard_at) <= FRESH_MS;
+            let is_drained = self.config.drained.contains(name);
+            slots.accepts_work = is_fresh && !slots.record.leaving && !is_drained;
+        }
+    }
+
+    /// Queues a job whose claim was granted and returns its number.
+    pub fn submit(&mut self, spec: JobSpec, now: ClockTime) -> JobNumber {
+        let number = JobNumber(self.next_job);
+        self.next_job += 1;
+        self.deadlines.insert((spec.deadline, number));
+        self.by_key.insert(spec.key.clone(), number);
+        let job = JobRun::new(spec, now);
+        let rank = JobRank { n_left: job.n_left(), job: number };
+        for (path, tasks) in &job.pending {
+            if self.queue.lane(path).is_none() {
+                self.queue.set_lane(
+                    path,
+                    crate::workspace_template::UrgencyClass::Normal,
+                    u32::MAX,
+                );
+            }
+            self.queue.add(path, rank, tasks.len());
+        }
+        for task in &job.spec.tasks {
+            if let Some(declared_ms) = task.declared_ms {
+                let path = (job.spec.workspace.clone(), task.kind.clone());
+                self.estimates.hint(&path, declared_ms);
+            }
+        }
+        let is_empty = job.states.is_empty();
+        self.jobs.insert(number, job);
+        if is_empty {
+            self.end_job(number, Ok(Vec::new()), now);
+        }
+        self.dispatch(now);
+        number
+    }
+
+    /// Cancels a job; does nothing when it has ended.
+    pub fn cancel(&mut self, key: &JobKey, now: ClockTime) {
+        let Some(number) = self.by_key.get(key).copied() else { return };
+        let Some(job) = self.jobs.get(&number) else { return };
+        let kind =
+            if job.n_started == 0 { ErrorKind::CancelledBeforeStart } else { ErrorKind::Cancelled };
+        self.fail_job(number, RequestError::new(kind, "the caller cancelled the job"), now);
+    }
+
+    /// Takes the end of a task that was started.
+    pub fn finish_task(
+        &mut self,
+        task: TaskRef,
+        endpoint: &EndpointName,
+        report: TaskReport,
+        run_ms: f64,
+        now: ClockTime,
+    ) {
+        let Some(kind) = self.free_slot(task, endpoint) else { return };
+        if matches!(report, TaskReport::Done(_)) {
+            self.estimates.take(&kind, endpoint, run_ms);
+            self.quarantine.note_success(endpoint);
+        }
+        if self.jobs.contains_key(&task.job) {
+            self.take_report(task, endpoint, report, now);
+        }
+        self.return_recalled(endpoint, now);
+        self.dispatch(now);
+    }
+
+    fn free_slot(
+        &mut self,
+        task: TaskRef,
+        endpoint: &EndpointName,
+    ) -> Option<crate::run_estimates::KindPath> {
+        let slots = self.endpoints.get_mut(endpoint)?;
+        let flight = slots.in_flight.swap_remove(&task)?;
+        if let Some(n_slots) = self.usage.get_mut(&flight.kind.0) {
+            *n_slots = n_slots.saturating_sub(1);
+        }
+        Some(flight.kind)
+    }
+
+    fn take_report(
+        &mut self,
+        task: TaskRef,
+        endpoint: &EndpointName,
+        report: TaskReport,
+        now: ClockTime,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let is_sent = job.states[task.idx as usize] == TaskState::Sent(endpoint.clone());
+        check_invariant(Invariant::AnswerMatchesRequest, is_sent);
+        job.trace.tasks[task.idx as usize].ended_at = Some(now);
+        match report {
+            TaskReport::Done(output) => self.take_output(task, output, now),
+            TaskReport::Failed(message) => {
+                self.counts.n_failed += 1;
+                self.quarantine.note_failure(endpoint, now);
+                let message = format!("task {} failed at {endpoint}: {message}", task.idx);
+                self.fail_job(task.job, RequestError::new(ErrorKind::TaskFailed, message), now);
+            }
+            TaskReport::Refused => {
+                self.counts.n_refused += 1;
+                if let Some(slots) = self.endpoints.get_mut(endpoint) {
+                    slots.refused_until = now.plus_ms(REFUSED_PAUSE_MS);
+                }
+                self.resend(task);
+            }
+            TaskReport::NotWritten(_) => {
+                self.counts.n_not_written += 1;
+                self.quarantine.note_failure(endpoint, now);
+                self.resend(task);
+            }
+            TaskReport::Lost(message) => {
+                self.counts.n_lost += 1;
+                self.quarantine.note_failure(endpoint, now);
+                self.take_loss(task, endpoint, &message, now);
+            }
+        }
+    }
+
+    fn take_output(&mut self, task: TaskRef, output: Bytes, now: ClockTime) {
+        self.counts.n_done += 1;
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let former = JobRank { n_left: job.n_left(), job: task.job };
+        job.states[task.idx as usize] = TaskState::Done(output);
+        job.n_done += 1;
+        let rank = JobRank { n_left: job.n_left(), job: task.job };
+        for (path, tasks) in &job.pending {
+            if !tasks.is_empty() {
+                self.queue.rerank(path, former, rank);
+            }
+        }
+        if rank.n_left == 0 {
+            let outputs = job.outputs();
+            check_invariant(Invariant::AnswerIsWhole, outputs.is_some());
+            self.end_job(task.job, Ok(outputs.unwrap_or_default()), now);
+        }
+    }
+
+    /// Puts a task back that was proven not to have started.
+    fn resend(&mut self, task: TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        job.unstart(task.idx);
+        job.trace.tasks[task.idx as usize].n_resent += 1;
+        self.counts.n_resent += 1;
+        if self.budget.try_spend() {
+            self.enqueue_again(task);
+            return;
+        }
+        job.trace.tasks[task.idx as usize].waited_for = Some("the retry budget".to_owned());
+        self.parked.push_back(task);
+    }
+
+    fn enqueue_again(&mut self, task: TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let path = job.requeue(task.idx);
+        let rank = JobRank { n_left: job.n_left(), job: task.job };
+        self.queue.add(&path, rank, 1);
+    }
+
+    /// Puts parked tasks back as far as the retry budget goes.
+    fn unpark(&mut self) {
+        while self.budget.has_retry() {
+            let Some(task) = self.parked.pop_front() else { return };
+            if self.jobs.contains_key(&task.job) && self.budget.try_spend() {
+                self.enqueue_again(task);
+            }
+        }
+    }
+
+    fn take_loss(&mut self, task: TaskRef, endpoint: &EndpointName, message: &str, now: ClockTime) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.spec.repeat_rule == RepeatRule::Idempotent && self.budget.try_spend() {
+            job.repeat(task.idx);
+            self.counts.n_repeated += 1;
+            self.enqueue_again(task);
+            return;
+        }
+        let message = format!("task {} was lost at {endpoint}: {message}", task.idx);
+        self.fail_job(task.job, RequestError::new(ErrorKind::EndpointLost, message), now);
+    }
+
+    /// Fails a job; tasks that run are cancelled, and their ends only free their slots.
+    pub(crate) fn fail_job(&mut self, number: JobNumber, error: RequestError, now: ClockTime) {
+        let Some(job) = self.jobs.get(&number) else { return };
+        let is_true = error.kind.answer().ran != RanState::NotRun || job.n_started == 0;
+        check_invariant(Invariant::RefusalIsTrue, is_true);
+        let rank = JobRank { n_left: job.n_left(), job: number };
+        for (path, tasks) in &job.pending {
+            if !tasks.is_empty() {
+                self.queue.remove(path, rank, tasks.len(), 0);
+            }
+        }
+        for (endpoint, tasks) in job.sent_tasks() {
+            self.cancels.entry(endpoint).or_default().extend(tasks);
+        }
+        self.end_job(number, Err(error), now);
+    }
+
+    fn end_job(
+        &mut self,
+        number: JobNumber,
+        result: Result<Vec<Bytes>, RequestError>,
+        now: ClockTime,
+    ) {
+        let Some(job) = self.jobs.swap_remove(&number) else { return };
+        self.deadlines.remove(&(job.spec.deadline, number));
+        if self.by_key.get(&job.spec.key) == Some(&number) {
+            self.by_key.swap_remove(&job.spec.key);
+        }
+        let mut trace = job.trace;
+        trace.ended_at = Some(now);
+        trace.outcome = match &result {
+            Ok(_) => "complete".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        self.traces.insert(trace.key.clone(), trace);
+        if MAX_KEPT_TRACES < self.traces.len() {
+            // Drops the older half at once, so that the cost is spread over many jobs.
+            self.traces.drain(..MAX_KEPT_TRACES / 2);
+        }
+        self.effects.push(DispatchEffect::Finish(number, result));
+    }
+
+    /// Lets time pass: deadlines, stalls, returns of slots and batched cancels.
+    pub fn tick(&mut self, now: ClockTime) {
+        self.budget.earn_time(now.since_ms(self.ticked_at).min(1_000));
+        self.ticked_at = now;
+        self.refresh_acceptance(now);
+        self.pass_deadlines(now);
+        self.note_stalls(now);
+        self.unpark();
+        self.flush_cancels();
+        self.dispatch(now);
+        self.return_idle(now);
+    }
+
+    fn pass_deadlines(&mut self, now: ClockTime) {
+        while let Some((deadline, number)) = self.deadlines.first().copied() {
+            if now < deadline {
+                return;
+            }
+            self.deadlines.remove(&(deadline, number));
+            let n_started = self.jobs.get(&number).map_or(0, |it| it.n_started);
+            let kind = if n_started == 0 {
+                ErrorKind::DeadlineBeforeStart
+            } else {
+                ErrorKind::DeadlinePassed
+            };
+            let message = format!("the deadline passed with {n_started} tasks started");
+            self.fail_job(number, RequestError::new(kind, message), now);
+        }
+    }
+
+    fn note_stalls(&mut self, now: ClockTime) {
+        for (name, slots) in &self.endpoints {
+            let oldest = slots.in_flight.values().min_by_key(|it| it.started_at);
+            let Some(oldest) = oldest else {
+                self.quarantine.clear_stall(name, now);
+                continue;
+            };
+            let running_ms = now.since_ms(oldest.started_at) as f64;
+            self.quarantine.note_running(name, running_ms, oldest.expected_ms);
+        }
+    }
+
+    fn flush_cancels(&mut self) {
+        for (endpoint, tasks) in std::mem::take(&mut self.cancels) {
+            let Some(slots) = self.endpoints.get(&endpoint) else { continue };
+            self.counts.n_cancel_messages += 1;
+            let address = slots.record.address.clone();
+            self.effects.push(DispatchEffect::CancelTasks(endpoint, address, tasks));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/log_group.rs
@@ -0,0 +1,196 @@
+//! A replica together with the state machine that its log drives.
+//!
+//! Proposals come from any VM. The leader remembers who asked, applies the command
+//! once it is committed and answers; others answer with the leader they know. A
+//! proposal whose leader is lost is not answered: its sender asks again, and every
+//! command is safe to apply twice.
+
+use indexmap::IndexMap;
+
+use crate::{
+    prelude::*,
+    replica_effect::{ReplicaEffect, StoreEffect},
+    replica_message::ReplicaMessage,
+    replica_node::{ReplicaNode, ReplicaRole},
+};
+
+/// Applies a command to a state and encodes the answer.
+pub type ApplyFunction<S> = Box<dyn Fn(&mut S, &[u8]) -> Vec<u8> + Send>;
+/// Encodes a state.
+pub type EncodeFunction<S> = Box<dyn Fn(&S) -> Vec<u8> + Send>;
+/// Decodes a state.
+pub type DecodeFunction<S> = Box<dyn Fn(&[u8]) -> Option<S> + Send>;
+
+/// The functions that make a state `S` a state machine.
+pub struct StateFunctions<S> {
+    /// The state right after a founding with this fence.
+    pub found: Box<dyn Fn(ClockTime) -> S + Send>,
+    /// Applies a command and encodes the answer.
+    pub apply: ApplyFunction<S>,
+    /// Encodes the state.
+    pub encode: EncodeFunction<S>,
+    /// Decodes the state.
+    pub decode: DecodeFunction<S>,
+}
+
+/// Who waits for the answer to a proposal.
+#[derive(Data!)]
+pub struct ProposalWaiter {
+    /// VM of the process that asked.
+    pub vm: VmName,
+    /// Its number for the request.
+    pub request: u64,
+}
+
+/// The answer to a proposal.
+#[derive(Data!)]
+pub enum ProposalAnswer {
+    /// Committed and applied; the state machine's answer.
+    Applied(Vec<u8>),
+    /// This replica does not lead; the leader's VM, if known.
+    NotLeader(Option<VmName>),
+}
+
+/// Something for the surroundings to do.
+#[derive(Data!)]
+pub enum GroupEffect {
+    /// Change the durable state.
+    Store(StoreEffect),
+    /// Send a message to the replica on a VM.
+    Send(VmName, ReplicaMessage),
+    /// Answer a proposal.
+    Answer(ProposalWaiter, ProposalAnswer),
+    /// The role has changed.
+    Role(ReplicaRole),
+    /// The replica began another life.
+    Reborn(ReplicaId),
+}
+
+/// A replica with its state machine.
+pub struct LogGroup<S> {
+    node: ReplicaNode,
+    state: S,
+    functions: StateFunctions<S>,
+    waiters: IndexMap<u64, (u64, ProposalWaiter)>,
+    compact_entries: usize,
+    effects: Vec<GroupEffect>,
+}
+
+impl<S> LogGroup<S> {
+    /// A group around `node`, which compacts its log after `compact_entries` entries.
+    pub fn new(
+        node: ReplicaNode,
+        functions: StateFunctions<S>,
+        compact_entries: usize,
+    ) -> LogGroup<S> {
+        let state = (functions.found)(ClockTime::default());
+        let waiters = IndexMap::new();
+        let mut group =
+            LogGroup { node, state, functions, waiters, compact_entries, effects: Vec::new() };
+        group.carry_out();
+        group
+    }
+
+    /// The replica.
+    pub fn node(&self) -> &ReplicaNode {
+        &self.node
+    }
+
+    /// The state as of the applied index.
+    pub fn state(&self) -> &S {
+        &self.state
+    }
+
+    /// The state, for what is not part of a snapshot.
+    pub fn state_mut(&mut self) -> &mut S {
+        &mut self.state
+    }
+
+    /// Drains the effects since the last call, in order.
+    pub fn take_effects(&mut self) -> Vec<GroupEffect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: ClockTime) {
+        self.node.tick(now);
+        self.carry_out();
+    }
+
+    /// Takes a message.
+    pub fn receive(&mut self, message: ReplicaMessage, now: ClockTime) {
+        self.node.receive(message, now);
+        self.carry_out();
+    }
+
+    /// Proposes a command for `waiter`; [`LogGroup::flush`] sends it.
+    pub fn propose(&mut self, waiter: ProposalWaiter, command: Vec<u8>) {
+        match self.node.propose(command) {
+            Ok(index) => {
+                self.waiters.insert(index, (self.node.term(), waiter));
+            }
+            Err(error) => {
+                let answer = ProposalAnswer::NotLeader(error.leader);
+                self.effects.push(GroupEffect::Answer(waiter, answer));
+            }
+        }
+        self.carry_out();
+    }
+
+    /// Sends what was proposed and compacts the log when it has grown.
+    pub fn flush(&mut self, now: ClockTime) {
+        self.node.flush(now);
+        self.carry_out();
+        if self.compact_entries <= self.node.log().n_entries() {
+            let state = (self.functions.encode)(&self.state);
+            self.node.compact(state);
+            self.carry_out();
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for effect in self.node.take_effects() {
+            match effect {
+                ReplicaEffect::Store(it) => self.effects.push(GroupEffect::Store(it)),
+                ReplicaEffect::Send(vm, it) => self.effects.push(GroupEffect::Send(vm, it)),
+                ReplicaEffect::Apply(index, command) => self.apply(index, &command),
+                ReplicaEffect::Restore(snapshot) => {
+                    self.state = if snapshot.state.is_empty() {
+                        (self.functions.found)(snapshot.fence)
+                    } else {
+                        // Going on without the state would forget what was committed.
+                        (self.functions.decode)(&snapshot.state)
+                            .expect("a snapshot decodes with the code that made it")
+                    };
+                }
+                ReplicaEffect::Role(role) => {
+                    if role != ReplicaRole::Leader {
+                        self.refuse_waiters();
+                    }
+                    self.effects.push(GroupEffect::Role(role));
+                }
+                ReplicaEffect::Reborn(id) => {
+                    self.state = (self.functions.found)(ClockTime::default());
+                    self.effects.push(GroupEffect::Reborn(id));
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, index: u64, command: &[u8]) {
+        let answer = (self.functions.apply)(&mut self.state, command);
+        let Some((term, waiter)) = self.waiters.swap_remove(&index) else { return };
+        if self.node.log().term_at(index) == Some(term) {
+            let answer = ProposalAnswer::Applied(answer);
+            self.effects.push(GroupEffect::Answer(waiter, answer));
+        }
+    }
+
+    /// Sends the waiters of a former leader elsewhere; their proposals may yet be committed.
+    fn refuse_waiters(&mut self) {
+        for (_, (_, waiter)) in self.waiters.drain(..) {
+            let answer = ProposalAnswer::NotLeader(None);
+            self.effects.push(GroupEffect::Answer(waiter, answer));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/policy_settings.rs
@@ -0,0 +1,120 @@
+//! The choices of policy, each with the ways that can be compared.
+
+use std::str::FromStr;
+
+use crate::{prelude::*, quarantine_list::QuarantineRule, slot_leases::LeaseRule};
+
+/// How an endpoint is chosen for a task.
+#[derive(Data!, Copy)]
+pub enum PlacementRule {
+    /// Any with a free slot.
+    Random,
+    /// The one with the fewest of this entry's tasks.
+    LeastOutstanding,
+    /// The less loaded of two taken at random.
+    TwoChoices,
+    /// The one where the task is expected to finish first, also if it must wait.
+    ExpectedFinish,
+}
+
+/// In which order tasks are taken from the queue.
+#[derive(Data!, Copy)]
+pub enum OrderRule {
+    /// As they came.
+    Arrival,
+    /// The most urgent class first, then as they came.
+    Urgency,
+    /// The most urgent class first, then the workspace furthest below its quota, then
+    /// the job nearest its end.
+    UrgencyFairNearest,
+}
+
+/// When a job is refused before it is claimed.
+#[derive(Data!, Copy)]
+pub enum AdmissionRule {
+    /// Never.
+    Off,
+    /// When the queue is at its bound.
+    BoundedQueue,
+    /// When the predicted end lies past the deadline, or the predicted wait is too long.
+    PredictedWait,
+}
+
+/// Policy of an entry.
+#[derive(Data!, Copy)]
+pub struct PolicySettings {
+    /// Choice of endpoint.
+    pub placement: PlacementRule,
+    /// Division of slots.
+    pub leases: LeaseRule,
+    /// Order of the queue.
+    pub order: OrderRule,
+    /// Refusals under load.
+    pub admission: AdmissionRule,
+    /// Judgement of endpoints.
+    pub quarantine: QuarantineRule,
+    /// Most tasks in the queue under [`AdmissionRule::BoundedQueue`].
+    pub max_queued: u32,
+    /// Longest predicted wait under [`AdmissionRule::PredictedWait`], in ms.
+    pub max_wait_ms: u64,
+}
+
+impl Default for PolicySettings {
+    fn default() -> PolicySettings {
+        PolicySettings {
+            placement: PlacementRule::ExpectedFinish,
+            leases: LeaseRule::Shares,
+            order: OrderRule::UrgencyFairNearest,
+            admission: AdmissionRule::PredictedWait,
+            quarantine: QuarantineRule::FailuresAndStalls,
+            max_queued: 10_000,
+            max_wait_ms: 2_000,
+        }
+    }
+}
+
+/// Declares the words by which a rule is chosen.
+macro_rules! rule_words {
+    ($rule:ident { $($word:literal => $choice:ident,)* }) => {
+        impl FromStr for $rule {
+            type Err = String;
+
+            fn from_str(text: &str) -> Result<$rule, String> {
+                match text {
+                    $($word => Ok($rule::$choice),)*
+                    _ => {
+                        let allowed = [$($word),*].join(", ");
+                        Err(format!("{text:?} is not one of: {allowed}"))
+                    }
+                }
+            }
+        }
+    };
+}
+
+rule_words!(PlacementRule {
+    "random" => Random,
+    "least-outstanding" => LeastOutstanding,
+    "two-choices" => TwoChoices,
+    "expected-finish" => ExpectedFinish,
+});
+rule_words!(LeaseRule {
+    "uncoordinated" => Uncoordinated,
+    "shares" => Shares,
+    "single-owner" => SingleOwner,
+});
+rule_words!(OrderRule {
+    "arrival" => Arrival,
+    "urgency" => Urgency,
+    "urgency-fair-nearest" => UrgencyFairNearest,
+});
+rule_words!(AdmissionRule {
+    "off" => Off,
+    "bounded-queue" => BoundedQueue,
+    "predicted-wait" => PredictedWait,
+});
+rule_words!(QuarantineRule {
+    "off" => Off,
+    "failures" => Failures,
+    "failures-and-stalls" => FailuresAndStalls,
+});
--- /dev/null
+++ b/lib/src/replica_founding.rs
@@ -0,0 +1,252 @@
+//! Joining, founding and refounding a log group.
+//!
+//! A replica without state looks for its group. A leader that hears it sends it the
+//! log and then admits it as a voter, in place of the former replica of the same VM.
+//!
+//! Where enough VMs have no state ([`FoundingRule`](crate::replica_node::FoundingRule)),
+//! one of them asks the others to pledge themselves to a new generation. A replica
+//! pledges once in its life, and never to a generation after joining another. A
+//! majority of pledges founds the generation: the VMs left to any older one are too
+//! few for its quorum, which is a majority of the configured VMs. So two
+//! generations never commit at the same time. A pledge that leads nowhere ends that
+//! life of the replica.
+
+use indexmap::IndexSet;
+
+use crate::{
+    prelude::*,
+    replica_log::LogSnapshot,
+    replica_message::{ReplicaBody, ReplicaMessage},
+    replica_node::{
+        FoundingRule, FreshSighting, LeaderRule, PeerProgress, ReplicaNode, ReplicaRole,
+    },
+};
+
+/// Time for which a replica looks for a group before it founds one, in election times.
+const SEEK_ELECTIONS: u64 = 3;
+/// Time after which a fruitless pledge or a lost group is given up, in election times.
+const GIVE_UP_ELECTIONS: u64 = 8;
+/// Age up to which a sighting of a VM without state counts, in election times.
+const SIGHTING_ELECTIONS: u64 = 2;
+
+impl ReplicaNode {
+    /// Looks for a group, founds one or gives up a pledge.
+    pub(crate) fn tick_without_group(&mut self, now: ClockTime) {
+        let in_role_ms = now.since_ms(self.role_since);
+        if self.role == ReplicaRole::Pledged {
+            if self.settings.election_ms * GIVE_UP_ELECTIONS <= in_role_ms {
+                self.begin_new_life(now);
+            }
+            return;
+        }
+        if now < self.heartbeat_at {
+            return;
+        }
+        self.heartbeat_at = now.plus_ms(self.settings.heartbeat_ms);
+        self.send_to_vms(&ReplicaBody::Seek);
+        let seek_ms = self.settings.election_ms * SEEK_ELECTIONS;
+        if seek_ms <= in_role_ms && self.may_found(now) {
+            self.ask_pledges(now);
+        }
+    }
+
+    fn n_fresh(&self, now: ClockTime) -> usize {
+        let limit_ms = self.settings.election_ms * SIGHTING_ELECTIONS;
+        self.fresh.values().filter(|it| now.since_ms(it.heard_at) <= limit_ms).count()
+    }
+
+    fn may_found(&self, now: ClockTime) -> bool {
+        let n_needed = match self.settings.founding_rule {
+            FoundingRule::Majority => self.quorum(),
+            FoundingRule::All => self.settings.vms.len(),
+        };
+        self.settings.leader_rule == LeaderRule::MayLead && n_needed <= self.n_fresh(now) + 1
+    }
+
+    fn ask_pledges(&mut self, now: ClockTime) {
+        let generation = GenerationId(now.0.max(self.hard.id.incarnation));
+        self.hard.pledged = Some(generation);
+        self.save_hard_state();
+        self.set_role(ReplicaRole::Pledged, now);
+        self.pledges.clear();
+        self.pledges.insert(self.hard.id.clone(), now);
+        self.send_to_vms(&ReplicaBody::PledgeAsk(generation));
+        self.found_when_pledged(now);
+    }
+
+    /// Pledges to a founding unless this life already belongs to another.
+    pub(crate) fn on_pledge_ask(
+        &mut self,
+        from: ReplicaId,
+        generation: GenerationId,
+        now: ClockTime,
+    ) {
+        if self.role != ReplicaRole::Fresh {
+            return;
+        }
+        self.hard.pledged = Some(generation);
+        self.save_hard_state();
+        self.set_role(ReplicaRole::Pledged, now);
+        self.send(&from, ReplicaBody::PledgeGive(generation, now));
+    }
+
+    /// Counts a pledge to this replica's own founding.
+    pub(crate) fn on_pledge_give(
+        &mut self,
+        from: ReplicaId,
+        generation: GenerationId,
+        clock: ClockTime,
+        now: ClockTime,
+    ) {
+        if self.role == ReplicaRole::Leader && self.hard.generation == Some(generation) {
+            self.on_seek(from, now);
+            return;
+        }
+        let is_own = self.pledges.contains_key(&self.hard.id);
+        if self.role != ReplicaRole::Pledged || !is_own || self.hard.pledged != Some(generation) {
+            return;
+        }
+        self.pledges.insert(from, clock);
+        self.found_when_pledged(now);
+    }
+
+    fn found_when_pledged(&mut self, now: ClockTime) {
+        let n_needed = match self.settings.founding_rule {
+            FoundingRule::Majority => self.quorum(),
+            FoundingRule::All => self.settings.vms.len(),
+        };
+        if self.pledges.len() < n_needed {
+            return;
+        }
+        let voters: IndexSet<ReplicaId> = self.pledges.keys().cloned().collect();
+        let latest = self.pledges.values().copied().max().unwrap_or(now).max(now);
+        let fence = latest.plus_ms(2 * self.settings.clock_skew_ms);
+        self.pledges.clear();
+        self.hard.generation = self.hard.pledged.take();
+        self.hard.term = 1;
+        self.hard.vote = Some(self.hard.id.clone());
+        self.save_hard_state();
+        self.restore(LogSnapshot { index: 1, term: 1, voters, fence, state: Vec::new() });
+        self.lead(now);
+        for progress in self.progress.values_mut() {
+            progress.next = 1;
+        }
+        self.flush(now);
+    }
+
+    /// Notes a VM without state; a leader starts to send it the log.
+    pub(crate) fn on_seek(&mut self, from: ReplicaId, now: ClockTime) {
+        let known = self.fresh.get(&from.vm);
+        if known.is_some_and(|it| from.incarnation < it.id.incarnation) {
+            return;
+        }
+        let sighting = FreshSighting { id: from.clone(), heard_at: now };
+        self.fresh.insert(from.vm.clone(), sighting);
+        if self.role != ReplicaRole::Leader || self.progress.contains_key(&from) {
+            return;
+        }
+        let newer = |it: &ReplicaId| it.vm == from.vm && from.incarnation <= it.incarnation;
+        if self.voters().iter().any(newer) || self.progress.keys().any(newer) {
+            return;
+        }
+        let voters = self.voters().clone();
+        self.progress.retain(|id, _| id.vm != from.vm || voters.contains(id));
+        let next = self.log.last_index() + 1;
+        let progress = PeerProgress { matched: 0, next, heard_at: now, sent_at: now };
+        self.progress.insert(from, progress);
+    }
+
+    /// Admits a caught-up replica, first removing the former one of its VM.
+    pub(crate) fn admit_replicas(&mut self, now: ClockTime) {
+        let has_pending = self.log.voters_entry_after(self.commit).is_some();
+        if has_pending || !self.is_settled_leader() {
+            return;
+        }
+        let voters = self.voters().clone();
+        let ready = self.progress.iter().find(|(id, it)| {
+            !voters.contains(*id)
+                && self.commit <= it.matched
+                && now.since_ms(it.heard_at) <= self.settings.election_ms
+        });
+        let Some((id, _)) = ready else { return };
+        let id = id.clone();
+        let mut changed = voters;
+        let former = changed.iter().find(|it| it.vm == id.vm).cloned();
+        match former {
+            Some(former) => {
+                changed.shift_remove(&former);
+                self.progress.shift_remove(&former);
+            }
+            None => {
+                changed.insert(id);
+            }
+        }
+        self.propose_voters(changed, now);
+    }
+
+    /// Whether a message's generation is this replica's, joining it when there is none.
+    pub(crate) fn enter_generation(&mut self, message: &ReplicaMessage, now: ClockTime) -> bool {
+        let Some(generation) = message.generation else { return false };
+        if self.hard.generation == Some(generation) {
+            return true;
+        }
+        let is_from_leader =
+            matches!(message.body, ReplicaBody::Append { .. } | ReplicaBody::Install(_));
+        if !is_from_leader {
+            return false;
+        }
+        match self.hard.generation {
+            None => self.join_generation(generation, now),
+            Some(own) => {
+                if own < generation && self.settings.founding_rule == FoundingRule::Majority {
+                    self.begin_new_life(now);
+                }
+                false
+            }
+        }
+    }
+
+    /// Tells a replica of an older generation that a newer one has a leader.
+    pub(crate) fn answer_older_generation(&mut self, message: &ReplicaMessage) {
+        let is_older = message.generation < self.hard.generation && message.generation.is_some();
+        if !is_older || self.role != ReplicaRole::Leader {
+            return;
+        }
+        let prev_index = self.log.last_index();
+        let prev_term = self.log.last_term();
+        let commit = self.commit;
+        let body = ReplicaBody::Append { prev_index, prev_term, commit, entries: Vec::new() };
+        self.send(&message.from, body);
+    }
+
+    fn join_generation(&mut self, generation: GenerationId, now: ClockTime) -> bool {
+        if self.hard.pledged.is_some_and(|it| it != generation) {
+            return false;
+        }
+        self.hard.pledged = None;
+        self.hard.generation = Some(generation);
+        self.save_hard_state();
+        self.reset_election(now);
+        self.heard_at = now;
+        self.set_role(ReplicaRole::Follower, now);
+        true
+    }
+
+    /// Whether this replica's group can no longer reach a quorum.
+    ///
+    /// Only state in memory is ever given up. A replica that is no voter has nothing
+    /// to keep; a voter gives up once a majority of VMs is known to have no state.
+    pub(crate) fn is_stranded(&self, now: ClockTime) -> bool {
+        let limit_ms = self.settings.election_ms * GIVE_UP_ELECTIONS;
+        if now.since_ms(self.heard_at) < limit_ms {
+            return false;
+        }
+        match self.settings.founding_rule {
+            FoundingRule::Majority => {
+                let is_voter = self.voters().contains(&self.hard.id);
+                !is_voter || self.quorum() <= self.n_fresh(now)
+            }
+            FoundingRule::All => !self.voters().contains(&self.hard.id),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/replica_node.rs
@@ -0,0 +1,429 @@
+//! One replica of a replicated log: its state, role and entry points.
+//!
+//! The log follows Raft (Ongaro and Ousterhout, 2014) with pre-vote, a leader that
+//! steps down when it no longer hears a quorum, snapshots and membership changes by
+//! a single server. Three things differ.
+//!
+//! - The quorum is a majority of the group's configured VMs, whatever the number of
+//!   voters at the moment. A VM holds one voter at most.
+//! - A replica that lost its state is another replica: it has a new id and does not
+//!   vote until a membership change has admitted it.
+//! - A group without a living majority is founded anew as another generation. See
+//!   `replica_founding`.
+//!
+//! The node reads no clock and sends nothing: each entry point takes the time and
+//! appends to a list of effects, which [`ReplicaNode::take_effects`] drains.
+
+use indexmap::{IndexMap, IndexSet};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::{
+    prelude::*,
+    replica_effect::{HardState, ReplicaEffect, StoreEffect},
+    replica_log::{EntryPayload, LogEntry, LogSnapshot, ReplicaLog},
+    replica_message::{ReplicaBody, ReplicaMessage},
+};
+
+/// How many VMs without state a founding needs.
+#[derive(Data!, Copy)]
+pub enum FoundingRule {
+    /// A majority: for state in memory, where a fence covers what was lost.
+    Majority,
+    /// Every VM: for state on disk, which must never be founded over.
+    All,
+}
+
+/// Whether a replica may lead.
+#[derive(Data!, Copy)]
+pub enum LeaderRule {
+    /// The replica stands for election.
+    MayLead,
+    /// The replica only votes and stores.
+    Witness,
+}
+
+/// What a replica needs to know of its group.
+#[derive(Data!)]
+pub struct ReplicaSettings {
+    /// VMs of the group, one replica each.
+    pub vms: Vec<VmName>,
+    /// Whether this replica may lead.
+    pub leader_rule: LeaderRule,
+    /// VMs needed for a founding.
+    pub founding_rule: FoundingRule,
+    /// Shortest silence of a leader before an election, in ms.
+    pub election_ms: u64,
+    /// Time between a leader's heartbeats, in ms.
+    pub heartbeat_ms: u64,
+    /// Largest difference between two VMs' clocks, in ms.
+    pub clock_skew_ms: u64,
+    /// Seed of the election jitter.
+    pub seed: u64,
+}
+
+/// Role of a replica.
+#[derive(Data!, Copy)]
+pub enum ReplicaRole {
+    /// Has no group.
+    Fresh,
+    /// Waits for the founding that it has pledged to.
+    Pledged,
+    /// Follows a leader, as voter or not.
+    Follower,
+    /// Asks whether it would be elected.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// What a leader knows of another replica.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerProgress {
+    /// Highest index known to match.
+    pub(crate) matched: u64,
+    /// Next index to send.
+    pub(crate) next: u64,
+    /// Last answer.
+    pub(crate) heard_at: ClockTime,
+    /// Last message with content.
+    pub(crate) sent_at: ClockTime,
+}
+
+/// A VM without state, as last heard.
+#[derive(Clone, Debug)]
+pub(crate) struct FreshSighting {
+    /// Its replica.
+    pub(crate) id: ReplicaId,
+    /// When it was heard.
+    pub(crate) heard_at: ClockTime,
+}
+
+/// One replica of a log group.
+#[derive(Debug)]
+pub struct ReplicaNode {
+    pub(crate) settings: ReplicaSettings,
+    pub(crate) hard: HardState,
+    pub(crate) log: ReplicaLog,
+    pub(crate) commit: u64,
+    pub(crate) applied: u64,
+    pub(crate) role: ReplicaRole,
+    pub(crate) leader: Option<ReplicaId>,
+    pub(crate) heard_at: ClockTime,
+    pub(crate) election_at: ClockTime,
+    pub(crate) heartbeat_at: ClockTime,
+    pub(crate) role_since: ClockTime,
+    pub(crate) votes: IndexSet<ReplicaId>,
+    pub(crate) pledges: IndexMap<ReplicaId, ClockTime>,
+    pub(crate) progress: IndexMap<ReplicaId, PeerProgress>,
+    pub(crate) fresh: IndexMap<VmName, FreshSighting>,
+    pub(crate) effects: Vec<ReplicaEffect>,
+    rng: ChaCha8Rng,
+}
+
+/// The replica does not lead; the leader if it is known.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not the leader")]
+pub struct NotLeader {
+    /// VM of the leader.
+    pub leader: Option<VmName>,
+}
+
+impl ReplicaNode {
+    /// A replica without state.
+    pub fn new_fresh(settings: ReplicaSettings, id: ReplicaId, now: ClockTime) -> ReplicaNode {
+        let hard = HardState { id, generation: None, pledged: None, term: 0, vote: None };
+        let mut node = ReplicaNode::from_stored(settings, hard, ReplicaLog::default(), now);
+        node.save_hard_state();
+        node
+    }
+
+    /// A replica with the state that a restart found.
+    pub fn from_stored(
+        settings: ReplicaSettings,
+        hard: HardState,
+        log: ReplicaLog,
+        now: ClockTime,
+    ) -> ReplicaNode {
+        let role = match (hard.generation, hard.pledged) {
+            (Some(_), _) => ReplicaRole::Follower,
+            (None, Some(_)) => ReplicaRole::Pledged,
+            (None, None) => ReplicaRole::Fresh,
+        };
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed ^ hard.id.incarnation);
+        let commit = log.snapshot().index;
+        let mut effects = Vec::new();
+        if hard.generation.is_some() && 0 < commit {
+            effects.push(ReplicaEffect::Restore(log.snapshot().clone()));
+        }
+        let mut node = ReplicaNode {
+            settings,
+            hard,
+            log,
+            commit,
+            applied: commit,
+            role,
+            leader: None,
+            heard_at: now,
+            election_at: now,
+            heartbeat_at: now,
+            role_since: now,
+            votes: IndexSet::new(),
+            pledges: IndexMap::new(),
+            progress: IndexMap::new(),
+            fresh: IndexMap::new(),
+            effects,
+            rng,
+        };
+        node.reset_election(now);
+        node
+    }
+
+    /// The replica's id.
+    pub fn id(&self) -> &ReplicaId {
+        &self.hard.id
+    }
+
+    /// The replica's role.
+    pub fn role(&self) -> ReplicaRole {
+        self.role
+    }
+
+    /// Latest term seen.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Founding that the replica belongs to.
+    pub fn generation(&self) -> Option<GenerationId> {
+        self.hard.generation
+    }
+
+    /// VM of the leader, if it is known.
+    pub fn leader_vm(&self) -> Option<&VmName> {
+        self.leader.as_ref().map(|it| &it.vm)
+    }
+
+    /// Index up to which entries are committed.
+    pub fn commit_index(&self) -> u64 {
+        self.commit
+    }
+
+    /// Index up to which entries were handed out for applying.
+    pub fn applied_index(&self) -> u64 {
+        self.applied
+    }
+
+    /// The log.
+    pub fn log(&self) -> &ReplicaLog {
+        &self.log
+    }
+
+    /// Voters as of the newest entry.
+    pub fn voters(&self) -> &IndexSet<ReplicaId> {
+        self.log.voters_at(self.log.last_index())
+    }
+
+    /// Replicas needed for a commit or an election.
+    pub fn quorum(&self) -> usize {
+        self.settings.vms.len() / 2 + 1
+    }
+
+    /// VMs whose replica answered this leader within an election time.
+    pub fn reachable_vms(&self, now: ClockTime) -> Vec<VmName> {
+        let heard = self
+            .progress
+            .iter()
+            .filter(|(_, it)| now.since_ms(it.heard_at) <= self.settings.election_ms);
+        heard.map(|(id, _)| id.vm.clone()).collect()
+    }
+
+    /// Drains the effects since the last call, in order.
+    pub fn take_effects(&mut self) -> Vec<ReplicaEffect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Appends a command and returns its index; [`ReplicaNode::flush`] sends it.
+    ///
+    /// # Errors
+    ///
+    /// [`NotLeader`] when another replica leads, or none.
+    pub fn propose(&mut self, command: Vec<u8>) -> Result<u64, NotLeader> {
+        if self.role != ReplicaRole::Leader {
+            return Err(NotLeader { leader: self.leader_vm().cloned() });
+        }
+        Ok(self.append_own(EntryPayload::Command(command)))
+    }
+
+    /// Puts `state` in place of the entries applied so far.
+    pub fn compact(&mut self, state: Vec<u8>) {
+        if self.applied <= self.log.snapshot().index {
+            return;
+        }
+        self.log.compact(self.applied, state);
+        let snapshot = self.log.snapshot().clone();
+        self.effects.push(ReplicaEffect::Store(StoreEffect::SaveSnapshot(snapshot)));
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: ClockTime) {
+        match self.role {
+            ReplicaRole::Fresh | ReplicaRole::Pledged => self.tick_without_group(now),
+            ReplicaRole::Leader => self.tick_leader(now),
+            ReplicaRole::Follower | ReplicaRole::PreCandidate | ReplicaRole::Candidate => {
+                self.tick_follower(now);
+            }
+        }
+    }
+
+    /// Takes a message.
+    pub fn receive(&mut self, message: ReplicaMessage, now: ClockTime) {
+        if !self.settings.vms.contains(&message.from.vm) || message.from.vm == self.hard.id.vm {
+            return;
+        }
+        if message.to.as_ref().is_some_and(|it| *it != self.hard.id) {
+            self.answer_older_generation(&message);
+            return;
+        }
+        match message.body {
+            ReplicaBody::Seek => self.on_seek(message.from, now),
+            ReplicaBody::PledgeAsk(generation) => self.on_pledge_ask(message.from, generation, now),
+            ReplicaBody::PledgeGive(generation, clock) => {
+                self.on_pledge_give(message.from, generation, clock, now);
+            }
+            _ => self.receive_in_group(message, now),
+        }
+    }
+
+    fn receive_in_group(&mut self, message: ReplicaMessage, now: ClockTime) {
+        if !self.enter_generation(&message, now) {
+            return;
+        }
+        if self.hard.term < message.term && !is_pre_vote(&message.body) {
+            self.adopt_term(message.term, now);
+        }
+        let ReplicaMessage { from, term, body, .. } = message;
+        match body {
+            ReplicaBody::VoteAsk(phase, last_index, last_term) => {
+                self.on_vote_ask(from, term, phase, (last_term, last_index), now);
+            }
+            ReplicaBody::VoteGive(phase, answer) => {
+                self.on_vote_give(from, term, phase, answer, now);
+            }
+            ReplicaBody::Append { prev_index, prev_term, commit, entries } => {
+                self.on_append(from, term, (prev_index, prev_term), commit, entries, now);
+            }
+            ReplicaBody::AppendAck(answer) => self.on_append_ack(from, term, answer, now),
+            ReplicaBody::Install(snapshot) => self.on_install(from, term, snapshot, now),
+            ReplicaBody::Seek | ReplicaBody::PledgeAsk(_) | ReplicaBody::PledgeGive(..) => {}
+        }
+    }
+
+    /// Starts another life without state, under a new id.
+    pub(crate) fn begin_new_life(&mut self, now: ClockTime) {
+        let incarnation = now.0.max(self.hard.id.incarnation + 1);
+        let id = ReplicaId { vm: self.hard.id.vm.clone(), incarnation };
+        self.hard =
+            HardState { id: id.clone(), generation: None, pledged: None, term: 0, vote: None };
+        self.log = ReplicaLog::default();
+        self.commit = 0;
+        self.applied = 0;
+        self.leader = None;
+        self.votes.clear();
+        self.pledges.clear();
+        self.progress.clear();
+        self.effects.push(ReplicaEffect::Store(StoreEffect::Reset(self.hard.clone())));
+        self.effects.push(ReplicaEffect::Reborn(id));
+        self.set_role(ReplicaRole::Fresh, now);
+    }
+
+    /// Moves to a later term as a follower without a leader.
+    pub(crate) fn adopt_term(&mut self, term: u64, now: ClockTime) {
+        self.hard.term = term;
+        self.hard.vote = None;
+        self.save_hard_state();
+        self.leader = None;
+        if self.role == ReplicaRole::Leader {
+            self.reset_election(now);
+        }
+        self.set_role(ReplicaRole::Follower, now);
+    }
+
+    pub(crate) fn set_role(&mut self, role: ReplicaRole, now: ClockTime) {
+        if self.role == role {
+            return;
+        }
+        self.role = role;
+        self.role_since = now;
+        self.effects.push(ReplicaEffect::Role(role));
+    }
+
+    pub(crate) fn save_hard_state(&mut self) {
+        self.effects.push(ReplicaEffect::Store(StoreEffect::SaveState(self.hard.clone())));
+    }
+
+    pub(crate) fn reset_election(&mut self, now: ClockTime) {
+        let span_ms = self.settings.election_ms;
+        let jitter_ms = self.rng.random_range(0..span_ms.max(1));
+        self.election_at = now.plus_ms(span_ms + jitter_ms);
+    }
+
+    pub(crate) fn send(&mut self, to: &ReplicaId, body: ReplicaBody) {
+        let message = self.message(Some(to.clone()), body);
+        self.effects.push(ReplicaEffect::Send(to.vm.clone(), message));
+    }
+
+    /// Sends to whatever replica runs on each other VM.
+    pub(crate) fn send_to_vms(&mut self, body: &ReplicaBody) {
+        for vm in self.settings.vms.clone() {
+            if vm != self.hard.id.vm {
+                let message = self.message(None, body.clone());
+                self.effects.push(ReplicaEffect::Send(vm, message));
+            }
+        }
+    }
+
+    fn message(&self, to: Option<ReplicaId>, body: ReplicaBody) -> ReplicaMessage {
+        let from = self.hard.id.clone();
+        ReplicaMessage { from, to, generation: self.hard.generation, term: self.hard.term, body }
+    }
+
+    pub(crate) fn append_own(&mut self, payload: EntryPayload) -> u64 {
+        let index = self.log.last_index() + 1;
+        let entry = LogEntry { index, term: self.hard.term, payload };
+        self.log.push(entry.clone());
+        self.effects.push(ReplicaEffect::Store(StoreEffect::Append(vec![entry])));
+        index
+    }
+
+    /// Hands out entries up to the commit index.
+    pub(crate) fn apply_committed(&mut self) {
+        while self.applied < self.commit {
+            let index = self.applied + 1;
+            let Some(entry) = self.log.entry_at(index) else { return };
+            self.applied = index;
+            if let EntryPayload::Command(command) = &entry.payload {
+                self.effects.push(ReplicaEffect::Apply(index, command.clone()));
+            }
+        }
+    }
+
+    /// Replaces state and log by a snapshot.
+    pub(crate) fn restore(&mut self, snapshot: LogSnapshot) {
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.log.install(snapshot.clone());
+        self.effects.push(ReplicaEffect::Store(StoreEffect::SaveSnapshot(snapshot.clone())));
+        self.effects.push(ReplicaEffect::Restore(snapshot));
+    }
+}
+
+fn is_pre_vote(body: &ReplicaBody) -> bool {
+    use crate::replica_message::VotePhase;
+    matches!(
+        body,
+        ReplicaBody::VoteAsk(VotePhase::Pre, ..) | ReplicaBody::VoteGive(VotePhase::Pre, _)
+    )
+}
