--- /dev/null
+++ b/adapters/src/control_service.rs
@@ -0,0 +1,294 @@
+//! The thread that owns a control VM's state and its disk.
+
+use std::{path::PathBuf, time::Duration};
+
+use anyhow::Context;
+use indexmap::IndexMap;
+use log::{error, info};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+use yuccamux::{
+    config_state::{ChangeRecord, ConfigChange, ConfigImage},
+    control_node::{ControlEffect, ControlNode, ControlSettings},
+    entry_node::CallNumber,
+    prelude::*,
+};
+
+use crate::{
+    control_thread,
+    link_key::LinkKeys,
+    log_store::LogStore,
+    peer_link::{PeerInput, PeerLink},
+    wall_clock::WallClock,
+};
+
+/// Time between ticks.
+const TICK: Duration = Duration::from_millis(20);
+/// Inputs taken before effects are carried out.
+const MAX_INPUTS: usize = 1_024;
+/// Time that a change may take, in ms.
+const CHANGE_MS: u64 = 5_000;
+
+/// What the HTTP interface asks of the control thread.
+pub enum ServiceInput {
+    /// Change the configuration.
+    Change(ConfigChange, oneshot::Sender<Result<u64, RequestError>>),
+    /// The documents in force.
+    Image(oneshot::Sender<ConfigImage>),
+    /// The accepted changes.
+    History(oneshot::Sender<Vec<ChangeRecord>>),
+    /// A view of the state.
+    Status(oneshot::Sender<ServiceStatus>),
+}
+
+/// A control VM's state, for people and metrics.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct ServiceStatus {
+    /// Name of the VM.
+    pub vm: String,
+    /// Role of its replica.
+    pub role: String,
+    /// VM of the leader, if known.
+    pub leader: Option<String>,
+    /// Latest term.
+    pub term: u64,
+    /// Index up to which entries are committed.
+    pub commit: u64,
+    /// Voters.
+    pub voters: Vec<String>,
+    /// Control VMs that the leader reaches; empty elsewhere.
+    pub reachable: Vec<String>,
+    /// Configuration version applied here.
+    pub config_version: u64,
+    /// Syncs of the disk.
+    pub n_syncs: u64,
+    /// Messages sent to other VMs, and their bytes.
+    pub sent: (u64, u64),
+    /// Other VMs with the time since they were heard, in ms, and their version.
+    pub peers: Vec<(String, u64, u64)>,
+}
+
+/// The HTTP interface's handle on the control thread.
+#[derive(Clone)]
+pub struct ServiceHandle {
+    inbox: mpsc::UnboundedSender<ServiceInput>,
+    /// Links that are cut.
+    #[cfg(feature = "fault-injection")]
+    pub cuts: crate::peer_link::CutSwitch,
+}
+
+impl ServiceHandle {
+    /// Changes the configuration; returns the version made.
+    ///
+    /// # Errors
+    ///
+    /// `VersionConflict`, `InvalidChange`, or `NoLeader` when no answer came in time.
+    pub async fn change(&self, change: ConfigChange) -> Result<u64, RequestError> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(ServiceInput::Change(change, reply));
+        answer.await.unwrap_or_else(|_| {
+            Err(RequestError::new(ErrorKind::NoLeader, "the control thread has stopped"))
+        })
+    }
+
+    /// The documents in force.
+    pub async fn image(&self) -> ConfigImage {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(ServiceInput::Image(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// The accepted changes, oldest first.
+    pub async fn history(&self) -> Vec<ChangeRecord> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(ServiceInput::History(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// A view of the state.
+    pub async fn status(&self) -> ServiceStatus {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(ServiceInput::Status(reply));
+        answer.await.unwrap_or_default()
+    }
+}
+
+/// Starts the control thread on a data folder.
+///
+/// # Errors
+///
+/// When the data folder cannot be opened or the VM's address cannot be bound.
+pub fn start(
+    settings: ControlSettings,
+    data_folder: PathBuf,
+    keys: LinkKeys,
+    clock: WallClock,
+) -> anyhow::Result<ServiceHandle> {
+    let own = settings.owner.vm.clone();
+    let store = LogStore::open(&data_folder, &own)?;
+    let stored = store.stored();
+    if let Some((_, log)) = &stored {
+        info!("found {} entries after snapshot {}", log.n_entries(), log.snapshot().index);
+    }
+    let (peer_sender, peer_inputs) = mpsc::unbounded_channel();
+    let (inbox, inputs) = mpsc::unbounded_channel();
+    let layout = settings.layout.clone();
+    let linking = async move { PeerLink::start(&layout, &own, keys, peer_sender).await };
+    let starting = control_thread::start(linking, move |link| {
+        let host = ServiceHost {
+            vm: settings.owner.vm.clone(),
+            node: ControlNode::new(settings, stored, clock.now()),
+            store,
+            link,
+            clock,
+            calls: IndexMap::new(),
+            next_call: 0,
+        };
+        async move {
+            if let Err(error) = host.run(inputs, peer_inputs).await {
+                // Without its disk the replica must not go on.
+                error!("the control thread has stopped: {error:#}");
+                std::process::abort();
+            }
+        }
+    });
+    let link = starting?;
+    #[cfg(not(feature = "fault-injection"))]
+    drop(link);
+    Ok(ServiceHandle {
+        inbox,
+        #[cfg(feature = "fault-injection")]
+        cuts: link.cuts,
+    })
+}
+
+struct ServiceHost {
+    vm: VmName,
+    node: ControlNode,
+    store: LogStore,
+    link: PeerLink,
+    clock: WallClock,
+    calls: IndexMap<CallNumber, oneshot::Sender<Result<u64, RequestError>>>,
+    next_call: u64,
+}
+
+impl ServiceHost {
+    async fn run(
+        mut self,
+        mut inputs: mpsc::UnboundedReceiver<ServiceInput>,
+        mut peer_inputs: mpsc::UnboundedReceiver<PeerInput>,
+    ) -> anyhow::Result<()> {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.take_service(input),
+                    None => return Ok(()),
+                },
+                Some(input) = peer_inputs.recv() => self.take_peer(input),
+                _ = ticks.tick() => self.node.tick(self.clock.now()),
+            }
+            for _ in 0..MAX_INPUTS {
+                if let Ok(input) = inputs.try_recv() {
+                    self.take_service(input);
+                } else if let Ok(input) = peer_inputs.try_recv() {
+                    self.take_peer(input);
+                } else {
+                    break;
+                }
+            }
+            self.node.flush(self.clock.now());
+            self.carry_out().context("could not store the configuration")?;
+        }
+    }
+
+    fn take_service(&mut self, input: ServiceInput) {
+        match input {
+            ServiceInput::Change(change, reply) => {
+                self.next_call += 1;
+                let number = CallNumber(self.next_call);
+                self.calls.insert(number, reply);
+                self.node.change(number, change, CHANGE_MS, self.clock.now());
+            }
+            ServiceInput::Image(reply) => {
+                let _ = reply.send(self.node.state().image().clone());
+            }
+            ServiceInput::History(reply) => {
+                let _ = reply.send(self.node.state().history().to_vec());
+            }
+            ServiceInput::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    fn take_peer(&mut self, input: PeerInput) {
+        let now = self.clock.now();
+        match input {
+            PeerInput::Message(from, message) => self.node.receive(&from, message, now),
+            PeerInput::Datagram(from, datagram) => {
+                self.node.receive_datagram(&from, datagram, now);
+            }
+        }
+    }
+
+    /// Makes all changes durable with one sync, then lets the rest out.
+    fn carry_out(&mut self) -> anyhow::Result<()> {
+        let mut stores = Vec::new();
+        let mut others = Vec::new();
+        for effect in self.node.take_effects() {
+            match effect {
+                ControlEffect::Store(it) => stores.push(it),
+                it => others.push(it),
+            }
+        }
+        if !stores.is_empty() {
+            self.store.commit(stores)?;
+        }
+        for effect in others {
+            match effect {
+                ControlEffect::Store(_) => {}
+                ControlEffect::Send(vm, message) => self.link.send(&vm, &message),
+                ControlEffect::SendDatagram(vm, datagram) => {
+                    self.link.send_datagram(&vm, &datagram);
+                }
+                ControlEffect::EndChange(number, result) => {
+                    if let Some(reply) = self.calls.swap_remove(&number) {
+                        // The operator may have hung up and will send the change again.
+                        let _ = reply.send(result);
+                    }
+                }
+                ControlEffect::Role(role) => info!("configuration log: role {role:?}"),
+                ControlEffect::Version(version) => {
+                    info!("configuration version {version} accepted")
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn status(&self) -> ServiceStatus {
+        let node = self.node.node();
+        let now = self.clock.now();
+        let peers = self.node.peers().peers().map(|it| {
+            let vm = it.heartbeat.owner.vm.to_string();
+            (vm, now.since_ms(it.heard_at), it.heartbeat.config_version)
+        });
+        ServiceStatus {
+            vm: self.vm.to_string(),
+            role: format!("{:?}", node.role()),
+            leader: node.leader_vm().map(ToString::to_string),
+            term: node.term(),
+            commit: node.commit_index(),
+            voters: node.voters().iter().map(ToString::to_string).collect(),
+            reachable: node.reachable_vms(now).iter().map(ToString::to_string).collect(),
+            config_version: self.node.state().image().version,
+            n_syncs: self.store.n_syncs(),
+            sent: self.link.sent(),
+            peers: peers.collect(),
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/entry_control.rs
@@ -0,0 +1,404 @@
+//! The thread that owns an entry's control state.
+//!
+//! Inputs are taken as many as there are at once; then the node is flushed and its
+//! effects are carried out. So under load one message to a replica carries many
+//! commands.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use log::info;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time,
+};
+use yuccamux::{
+    endpoint_table::{EndpointRecord, EndpointState},
+    entry_node::{CallEnd, CallNumber, EntryEffect, EntryNode, EntrySettings, LedgerCall},
+    job_dispatcher::PeerLoad,
+    peer_message::PeerMessage,
+    prelude::*,
+    slot_leases::LeaseMessage,
+    workspace_template::ResolvedConfig,
+};
+
+use crate::{
+    control_thread,
+    link_key::LinkKeys,
+    peer_link::{PeerInput, PeerLink},
+    wall_clock::WallClock,
+};
+
+/// Time between ticks.
+const TICK: Duration = Duration::from_millis(10);
+/// Inputs taken before effects are carried out.
+const MAX_INPUTS: usize = 4_096;
+
+/// What traffic asks of the control thread.
+pub enum ControlInput {
+    /// A call to a ledger, with the time that it may take in ms.
+    Call(LedgerCall, u64, oneshot::Sender<CallEnd>),
+    /// An endpoint's announcement; answered with whether it is drained.
+    Announce(EndpointRecord, oneshot::Sender<bool>),
+    /// A message to another VM.
+    Send(VmName, PeerMessage),
+    /// The dispatcher's load.
+    Load(PeerLoad),
+    /// Take no new work.
+    Stop,
+    /// A view of the control state.
+    Status(oneshot::Sender<ControlStatus>),
+}
+
+/// What the control thread tells traffic.
+pub enum TrafficInput {
+    /// A configuration is in force.
+    Config(ResolvedConfig),
+    /// The endpoints, and the entries that are alive.
+    Endpoints(Vec<EndpointState>, Vec<VmName>),
+    /// A message about leases.
+    Lease(VmName, LeaseMessage),
+    /// The load of another entry.
+    Load(VmName, PeerLoad),
+    /// A job is no longer wanted.
+    Cancel(JobKey),
+}
+
+/// A ledger's replica, for people and metrics.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct LedgerStatus {
+    /// Data centre of the ledger.
+    pub group: String,
+    /// Role of the replica here.
+    pub role: String,
+    /// VM of the leader, if known.
+    pub leader: Option<String>,
+    /// Latest term.
+    pub term: u64,
+    /// Index up to which entries are committed.
+    pub commit: u64,
+    /// Number of voters.
+    pub n_voters: usize,
+    /// Jobs kept.
+    pub n_jobs: usize,
+    /// Bytes kept, estimated.
+    pub n_bytes: u64,
+}
+
+/// The control state, for people and metrics.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct ControlStatus {
+    /// Name of the VM.
+    pub vm: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Configuration version in force.
+    pub config_version: u64,
+    /// Why it takes no work, if it does not.
+    pub not_ready: Option<String>,
+    /// Its replicas of ledgers.
+    pub ledgers: Vec<LedgerStatus>,
+    /// Other VMs with the time since they were heard, in ms, and their version.
+    pub peers: Vec<(String, u64, u64)>,
+    /// Endpoints with the time since they were heard, in ms.
+    pub endpoints: Vec<(EndpointRecord, u64)>,
+    /// Messages sent to other VMs, and their bytes.
+    pub sent: (u64, u64),
+    /// Messages of those that carried neither a change of state, a start nor an answer.
+    pub n_overhead: u64,
+    /// Requests to log groups sent again.
+    pub n_resent: u64,
+}
+
+/// Traffic's handle on the control thread.
+#[derive(Clone)]
+pub struct ControlHandle {
+    inbox: mpsc::UnboundedSender<ControlInput>,
+    ready: watch::Receiver<Result<(), RequestError>>,
+    /// Links that are cut.
+    #[cfg(feature = "fault-injection")]
+    pub cuts: crate::peer_link::CutSwitch,
+}
+
+impl ControlHandle {
+    /// Whether the VM takes work, and if not why.
+    pub fn check_ready(&self) -> Result<(), RequestError> {
+        self.ready.borrow().clone()
+    }
+
+    /// Calls the ledger of a key's home.
+    pub async fn call(&self, call: LedgerCall, span_ms: u64) -> CallEnd {
+        let (reply, end) = oneshot::channel();
+        if self.inbox.send(ControlInput::Call(call, span_ms, reply)).is_err() {
+            return CallEnd::Unreachable;
+        }
+        end.await.unwrap_or(CallEnd::Unreachable)
+    }
+
+    /// Passes an announcement on; returns whether the endpoint is drained.
+    pub async fn announce(&self, record: EndpointRecord) -> bool {
+        let (reply, drained) = oneshot::channel();
+        let _ = self.inbox.send(ControlInput::Announce(record, reply));
+        drained.await.unwrap_or_default()
+    }
+
+    /// Sends a message to another VM.
+    pub fn send(&self, to: VmName, message: PeerMessage) {
+        let _ = self.inbox.send(ControlInput::Send(to, message));
+    }
+
+    /// Tells the dispatcher's load.
+    pub fn set_load(&self, load: PeerLoad) {
+        let _ = self.inbox.send(ControlInput::Load(load));
+    }
+
+    /// Says that the VM takes no new work.
+    pub fn stop(&self) {
+        let _ = self.inbox.send(ControlInput::Stop);
+    }
+
+    /// A view of the control state.
+    pub async fn status(&self) -> ControlStatus {
+        let (reply, status) = oneshot::channel();
+        let _ = self.inbox.send(ControlInput::Status(reply));
+        status.await.unwrap_or_default()
+    }
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// When the VM's address cannot be bound.
+pub fn start(
+    settings: EntrySettings,
+    keys: LinkKeys,
+    clock: WallClock,
+    traffic: mpsc::UnboundedSender<TrafficInput>,
+) -> anyhow::Result<ControlHandle> {
+    let (inbox, inputs) = mpsc::unbounded_channel();
+    let starting = RequestError::new(ErrorKind::NotReady, "the VM has just started");
+    let (ready_sender, ready) = watch::channel(Err(starting));
+    let (peer_sender, peer_inputs) = mpsc::unbounded_channel();
+    let own = settings.owner.vm.clone();
+    let layout = settings.layout.clone();
+    let linking = async move { PeerLink::start(&layout, &own, keys, peer_sender).await };
+    let starting = control_thread::start(linking, move |link| {
+        let host = ControlHost {
+            vm: settings.owner.vm.clone(),
+            node: EntryNode::new(settings, clock.now()),
+            link,
+            clock,
+            traffic,
+            ready: ready_sender,
+            calls: IndexMap::new(),
+            next_call: 0,
+            endpoints_version: u64::MAX,
+            endpoints_sent_at: ClockTime::default(),
+            members: Vec::new(),
+            n_overhead: 0,
+        };
+        host.run(inputs, peer_inputs)
+    });
+    let link = starting?;
+    #[cfg(not(feature = "fault-injection"))]
+    drop(link);
+    Ok(ControlHandle {
+        inbox,
+        ready,
+        #[cfg(feature = "fault-injection")]
+        cuts: link.cuts,
+    })
+}
+
+/// Time between reports of fresh endpoints to traffic, in ms.
+const ENDPOINTS_MS: u64 = 250;
+
+struct ControlHost {
+    vm: VmName,
+    node: EntryNode,
+    link: PeerLink,
+    clock: WallClock,
+    traffic: mpsc::UnboundedSender<TrafficInput>,
+    ready: watch::Sender<Result<(), RequestError>>,
+    calls: IndexMap<CallNumber, oneshot::Sender<CallEnd>>,
+    next_call: u64,
+    endpoints_version: u64,
+    endpoints_sent_at: ClockTime,
+    members: Vec<VmName>,
+    n_overhead: u64,
+}
+
+impl ControlHost {
+    async fn run(
+        mut self,
+        mut inputs: mpsc::UnboundedReceiver<ControlInput>,
+        mut peer_inputs: mpsc::UnboundedReceiver<PeerInput>,
+    ) {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.take_control(input),
+                    None => return,
+                },
+                Some(input) = peer_inputs.recv() => self.take_peer(input),
+                _ = ticks.tick() => self.tick(),
+            }
+            for _ in 0..MAX_INPUTS {
+                if let Ok(input) = inputs.try_recv() {
+                    self.take_control(input);
+                } else if let Ok(input) = peer_inputs.try_recv() {
+                    self.take_peer(input);
+                } else {
+                    break;
+                }
+            }
+            self.node.flush(self.clock.now());
+            self.carry_out();
+        }
+    }
+
+    fn take_control(&mut self, input: ControlInput) {
+        let now = self.clock.now();
+        match input {
+            ControlInput::Call(call, span_ms, reply) => {
+                self.next_call += 1;
+                let number = CallNumber(self.next_call);
+                self.calls.insert(number, reply);
+                self.node.call(number, call, span_ms, now);
+            }
+            ControlInput::Announce(record, reply) => {
+                let is_drained = self.node.announce(record, now);
+                // An endpoint that hung up announces again.
+                let _ = reply.send(is_drained);
+                self.report_endpoints(now);
+            }
+            ControlInput::Send(to, message) => self.send(&to, &message),
+            ControlInput::Load(load) => self.node.set_load(load),
+            ControlInput::Stop => self.node.stop(now),
+            ControlInput::Status(reply) => {
+                let _ = reply.send(self.status(now));
+            }
+        }
+    }
+
+    fn take_peer(&mut self, input: PeerInput) {
+        let now = self.clock.now();
+        match input {
+            PeerInput::Message(from, message) => self.node.receive(&from, message, now),
+            PeerInput::Datagram(from, datagram) => {
+                self.node.receive_datagram(&from, datagram, now);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        self.node.tick(now);
+        self.report_endpoints(now);
+        let readiness = self.node.check_ready(now);
+        self.ready.send_if_modified(|known| {
+            if *known == readiness {
+                return false;
+            }
+            match &readiness {
+                Ok(()) => info!("takes work: configuration version {}", self.node.config_version()),
+                Err(error) => info!("takes no work: {}", error.message),
+            }
+            *known = readiness;
+            true
+        });
+    }
+
+    /// Tells traffic of the endpoints when they changed, or to keep them fresh.
+    fn report_endpoints(&mut self, now: ClockTime) {
+        let version = self.node.endpoints().version();
+        let members = self.node.members(now);
+        let is_due = ENDPOINTS_MS <= now.since_ms(self.endpoints_sent_at);
+        if version == self.endpoints_version && members == self.members && !is_due {
+            return;
+        }
+        if members != self.members {
+            let names: Vec<&str> = members.iter().map(VmName::as_str).collect();
+            info!("entries of {} that are alive: {}", self.node.centre(), names.join(" "));
+        }
+        self.endpoints_version = version;
+        self.endpoints_sent_at = now;
+        self.members = members.clone();
+        let states = self.node.endpoints().endpoints().cloned().collect();
+        let _ = self.traffic.send(TrafficInput::Endpoints(states, members));
+    }
+
+    fn carry_out(&mut self) {
+        for effect in self.node.take_effects() {
+            match effect {
+                EntryEffect::Send(vm, message) => self.send(&vm, &message),
+                EntryEffect::SendDatagram(vm, datagram) => self.link.send_datagram(&vm, &datagram),
+                EntryEffect::EndCall(number, end) => {
+                    if let Some(reply) = self.calls.swap_remove(&number) {
+                        // The caller may have hung up.
+                        let _ = reply.send(end);
+                    }
+                }
+                EntryEffect::UseConfig(config) => {
+                    info!("configuration version {} is in force", config.version);
+                    let _ = self.traffic.send(TrafficInput::Config(config));
+                }
+                EntryEffect::TakeLease(vm, message) => {
+                    let _ = self.traffic.send(TrafficInput::Lease(vm, message));
+                }
+                EntryEffect::TakeLoad(vm, load) => {
+                    let _ = self.traffic.send(TrafficInput::Load(vm, load));
+                }
+                EntryEffect::Cancel(key) => {
+                    let _ = self.traffic.send(TrafficInput::Cancel(key));
+                }
+                EntryEffect::Role(group, role) => info!("ledger {group}: role {role:?}"),
+                EntryEffect::Reborn(group, id) => info!("ledger {group}: replica {id} starts anew"),
+            }
+        }
+    }
+
+    fn send(&mut self, to: &VmName, message: &PeerMessage) {
+        if message.is_overhead() {
+            self.n_overhead += 1;
+        }
+        self.link.send(to, message);
+    }
+
+    fn status(&mut self, now: ClockTime) -> ControlStatus {
+        let not_ready = self.node.check_ready(now).err().map(|it| it.message);
+        let ledgers = self.node.ledgers().iter().map(|(group, ledger)| {
+            let node = ledger.node();
+            LedgerStatus {
+                group: group.to_string(),
+                role: format!("{:?}", node.role()),
+                leader: node.leader_vm().map(ToString::to_string),
+                term: node.term(),
+                commit: node.commit_index(),
+                n_voters: node.voters().len(),
+                n_jobs: ledger.ledger().n_jobs(),
+                n_bytes: ledger.ledger().n_bytes(),
+            }
+        });
+        let peers = self.node.peers().peers().map(|it| {
+            let vm = it.heartbeat.owner.vm.to_string();
+            (vm, now.since_ms(it.heard_at), it.heartbeat.config_version)
+        });
+        let endpoints = self.node.endpoints().endpoints();
+        ControlStatus {
+            vm: self.vm.to_string(),
+            centre: self.node.centre().to_string(),
+            config_version: self.node.config_version(),
+            not_ready,
+            ledgers: ledgers.collect(),
+            peers: peers.collect(),
+            endpoints: endpoints.map(|it| (it.record.clone(), now.since_ms(it.heard_at))).collect(),
+            sent: self.link.sent(),
+            n_overhead: self.n_overhead,
+            n_resent: self.node.n_resent(),
+        }
+    }
+}
--- /dev/null
+++ b/adapters/src/job_traffic.rs
@@ -0,0 +1,485 @@
+//! Submissions from claim to answer, on the traffic threads.
+//!
+//! A submission runs to its end whether or not its caller stays: claim, dispatch,
+//! record the outcome, answer. What the ledger has recorded is what every caller of
+//! the key gets.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, header::HOST};
+use indexmap::IndexMap;
+use serde_json::value::RawValue;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+use yuccamux::{
+    entry_node::{CALL_MS, CallEnd, LedgerCall},
+    job_dispatcher::{DispatchEffect, JobDispatcher},
+    job_ledger::{JobClaim, JobOutcome, LedgerAnswer, OwnerId},
+    job_run::{JobNumber, JobSpec, JobTrace, TaskRef, TaskReport},
+    peer_message::PeerMessage,
+    prelude::*,
+};
+
+use crate::{
+    border_types::{JobAnswer, JobAnswerState},
+    endpoint_client::EndpointClient,
+    entry_control::{ControlHandle, TrafficInput},
+    entry_metrics::{DispatcherView, EntryMetrics},
+    wall_clock::WallClock,
+};
+
+/// Time between the dispatcher's ticks.
+const TICK: Duration = Duration::from_millis(10);
+/// Time between reports of the load to other entries, in ticks.
+const LOAD_TICKS: u64 = 5;
+/// Time that recording an outcome may take, in ms.
+const SETTLE_MS: u64 = 30_000;
+/// Time after a job's deadline for which its tasks are still waited for.
+const TASK_GRACE: Duration = Duration::from_secs(30);
+
+/// A submission, checked.
+#[derive(Clone, Debug)]
+pub struct JobRequest {
+    /// What the dispatcher needs.
+    pub spec: JobSpec,
+    /// Inputs in task order.
+    pub inputs: Vec<Bytes>,
+    /// Digest of the body.
+    pub digest: [u8; 16],
+    /// Whether the caller chose the key.
+    pub key_origin: KeyOrigin,
+}
+
+/// Who chose a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyOrigin {
+    /// The caller, who may use it again.
+    Caller,
+    /// This entry, for this submission alone.
+    Entry,
+}
+
+/// How a submission began.
+pub enum JobStart {
+    /// It runs here, or another copy of it runs; the answer will come.
+    Running(oneshot::Receiver<Result<JobOutcome, RequestError>>),
+    /// It has ended before.
+    Ended(JobOutcome),
+    /// It is refused.
+    Refused(RequestError),
+}
+
+struct ActiveJob {
+    inputs: Vec<Bytes>,
+    key: JobKey,
+    workspace: String,
+    kinds: Vec<KindName>,
+    queued: Instant,
+    deadline: ClockTime,
+    done: oneshot::Sender<Result<Vec<Bytes>, RequestError>>,
+}
+
+struct TrafficState {
+    dispatcher: JobDispatcher,
+    active: IndexMap<JobNumber, ActiveJob>,
+}
+
+/// The traffic side of an entry.
+pub struct JobTraffic {
+    state: Mutex<TrafficState>,
+    control: ControlHandle,
+    client: EndpointClient,
+    metrics: EntryMetrics,
+    clock: WallClock,
+    owner: OwnerId,
+    n_open: AtomicU64,
+}
+
+impl JobTraffic {
+    /// The traffic side around a dispatcher.
+    pub fn new(
+        dispatcher: JobDispatcher,
+        control: ControlHandle,
+        clock: WallClock,
+        owner: OwnerId,
+    ) -> Arc<JobTraffic> {
+        Arc::new(JobTraffic {
+            state: Mutex::new(TrafficState { dispatcher, active: IndexMap::new() }),
+            control,
+            client: EndpointClient::new(),
+            metrics: EntryMetrics::new(),
+            clock,
+            owner,
+            n_open: AtomicU64::new(0),
+        })
+    }
+
+    /// The control thread.
+    pub fn control(&self) -> &ControlHandle {
+        &self.control
+    }
+
+    /// The clock.
+    pub fn clock(&self) -> &WallClock {
+        &self.clock
+    }
+
+    /// The metrics.
+    pub fn metrics(&self) -> &EntryMetrics {
+        &self.metrics
+    }
+
+    /// Submissions without an answer.
+    pub fn n_open(&self) -> u64 {
+        self.n_open.load(Ordering::SeqCst)
+    }
+
+    /// The dispatcher, for metrics.
+    pub fn dispatcher_view(&self) -> DispatcherView {
+        DispatcherView::new(&self.lock().dispatcher)
+    }
+
+    /// What became of a job that this entry ran.
+    pub fn trace(&self, key: &JobKey) -> Option<JobTrace> {
+        self.lock().dispatcher.trace(key).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, TrafficState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Runs ticks and takes what the control thread tells, until it ends.
+    pub async fn run(self: Arc<Self>, mut inputs: mpsc::UnboundedReceiver<TrafficInput>) {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
+        let mut n_ticks = 0_u64;
+        loop {
+            tokio::select! {
+                input = inputs.recv() => match input {
+                    Some(input) => self.take_input(input),
+                    None => return,
+                },
+                _ = ticks.tick() => {
+                    n_ticks += 1;
+                    self.tick(n_ticks);
+                }
+            }
+        }
+    }
+
+    fn tick(self: &Arc<Self>, n_ticks: u64) {
+        let now = self.clock.now();
+        self.update(|it| it.tick(now));
+        if n_ticks.is_multiple_of(LOAD_TICKS) {
+            let load = self.lock().dispatcher.own_load(now);
+            self.control.set_load(load);
+        }
+    }
+
+    fn take_input(self: &Arc<Self>, input: TrafficInput) {
+        let now = self.clock.now();
+        self.update(|dispatcher| match input {
+            TrafficInput::Config(config) => dispatcher.set_config(config, now),
+            TrafficInput::Endpoints(states, members) => {
+                dispatcher.set_endpoints(states.iter(), &members, now);
+            }
+            TrafficInput::Lease(vm, message) => dispatcher.take_lease(&vm, message, now),
+            TrafficInput::Load(vm, load) => dispatcher.set_peer_load(&vm, load),
+            TrafficInput::Cancel(key) => dispatcher.cancel(&key, now),
+        });
+    }
+
+    /// Changes the dispatcher and carries out what follows.
+    fn update<T>(self: &Arc<Self>, change: impl FnOnce(&mut JobDispatcher) -> T) -> T {
+        let mut state = self.lock();
+        let result = change(&mut state.dispatcher);
+        self.carry_out(state);
+        result
+    }
+
+    fn carry_out(self: &Arc<Self>, mut state: MutexGuard<'_, TrafficState>) {
+        for effect in state.dispatcher.take_effects() {
+            match effect {
+                DispatchEffect::Start { task, id, endpoint, address, connections: _ } => {
+                    let Some(job) = state.active.get(&task.job) else { continue };
+                    let Some(request) = task_request(job, task, id, &address) else { continue };
+                    let left_ms = job.deadline.since_ms(self.clock.now());
+                    let time_limit = Duration::from_millis(left_ms) + TASK_GRACE;
+                    let queue_time = job.queued.elapsed();
+                    let labels = (job.workspace.clone(), job.kinds[task.idx as usize].clone());
+                    let traffic = Arc::clone(self);
+                    tokio::spawn(async move {
+                        let started = Instant::now();
+                        let report = traffic.client.run_task(&address, request, time_limit).await;
+                        let run_time = started.elapsed();
+                        traffic.metrics.note_task(
+                            &labels.0,
+                            labels.1.as_str(),
+                            queue_time.as_secs_f64(),
+                            run_time.as_secs_f64(),
+                        );
+                        traffic.finish_task(task, &endpoint, report, run_time);
+                    });
+                }
+                DispatchEffect::Finish(number, result) => {
+                    if let Some(job) = state.active.swap_remove(&number) {
+                        // The submission waits for it as long as the process lives.
+                        let _ = job.done.send(result);
+                    }
+                }
+                DispatchEffect::CancelTasks(_, address, tasks) => {
+                    let Some(request) = cancel_request(&tasks, &address) else { continue };
+                    let client = self.client.clone();
+                    tokio::spawn(async move { client.notify(&address, request).await });
+                }
+                DispatchEffect::Lease(vm, message) => {
+                    self.control.send(vm, PeerMessage::Lease(message));
+                }
+            }
+        }
+    }
+
+    fn finish_task(
+        self: &Arc<Self>,
+        task: TaskRef,
+        endpoint: &EndpointName,
+        report: TaskReport,
+        run_time: Duration,
+    ) {
+        let report = check_output(report);
+        let run_ms = run_time.as_secs_f64() * 1000.0;
+        let now = self.clock.now();
+        self.update(|it| it.finish_task(task, endpoint, report, run_ms, now));
+    }
+
+    /// Begins a submission: admission, claim, and the run in a task of its own.
+    pub async fn submit(self: &Arc<Self>, request: JobRequest) -> JobStart {
+        if let Err(error) = self.control.check_ready() {
+            return self.refuse(&request, error).await;
+        }
+        let admitted = {
+            let now = self.clock.now();
+            let spec = &request.spec;
+            let kinds: Vec<KindName> = spec.tasks.iter().map(|it| it.kind.clone()).collect();
+            self.lock().dispatcher.admit(&spec.workspace, &kinds, spec.deadline, now)
+        };
+        if let Err(error) = admitted {
+            return self.refuse(&request, error).await;
+        }
+        let claim = JobClaim {
+            key: request.spec.key.clone(),
+            digest: request.digest,
+            owner: self.owner.clone(),
+            nonce: rand::random(),
+        };
+        match self.control.call(LedgerCall::Claim(claim.clone()), CALL_MS).await {
+            CallEnd::Answered(LedgerAnswer::Granted) => {
+                let (answer, answered) = oneshot::channel();
+                let traffic = Arc::clone(self);
+                self.n_open.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(async move {
+                    let result = traffic.run_job(request, claim).await;
+                    // The caller may have hung up; the ledger keeps the outcome.
+                    let _ = answer.send(result);
+                    traffic.n_open.fetch_sub(1, Ordering::SeqCst);
+                });
+                JobStart::Running(answered)
+            }
+            CallEnd::Answered(LedgerAnswer::Attached(_, Some(outcome))) => JobStart::Ended(outcome),
+            CallEnd::Answered(LedgerAnswer::Attached(_, None)) => {
+                JobStart::Running(self.attach(request.spec.key, request.spec.deadline))
+            }
+            CallEnd::Answered(LedgerAnswer::Refused(error)) => JobStart::Refused(error),
+            CallEnd::Answered(_) | CallEnd::Awaited(_) => JobStart::Refused(internal_error()),
+            CallEnd::Unreachable => {
+                self.withdraw(claim);
+                JobStart::Refused(unreachable_error(&request.spec.key))
+            }
+        }
+    }
+
+    /// Refuses a submission as not run, unless an earlier copy of it is known.
+    async fn refuse(self: &Arc<Self>, request: &JobRequest, error: RequestError) -> JobStart {
+        if request.key_origin == KeyOrigin::Entry {
+            return JobStart::Refused(error);
+        }
+        let key = &request.spec.key;
+        match self.control.call(LedgerCall::Probe(key.clone()), CALL_MS).await {
+            CallEnd::Answered(LedgerAnswer::Unclaimed) => JobStart::Refused(error),
+            CallEnd::Answered(LedgerAnswer::Attached(_, Some(outcome))) => JobStart::Ended(outcome),
+            CallEnd::Answered(LedgerAnswer::Attached(_, None)) => {
+                JobStart::Running(self.attach(key.clone(), request.spec.deadline))
+            }
+            CallEnd::Answered(LedgerAnswer::Refused(known)) => JobStart::Refused(known),
+            CallEnd::Answered(_) | CallEnd::Awaited(_) => JobStart::Refused(internal_error()),
+            CallEnd::Unreachable => JobStart::Refused(unreachable_error(key)),
+        }
+    }
+
+    /// Runs a job whose claim was granted, and records its outcome.
+    async fn run_job(
+        self: &Arc<Self>,
+        request: JobRequest,
+        claim: JobClaim,
+    ) -> Result<JobOutcome, RequestError> {
+        let result = self.dispatch(request).await;
+        let outcome = match result {
+            Ok(outputs) => JobOutcome::Complete(complete_body(&claim.key, &outputs)),
+            Err(error) => JobOutcome::Failed(error),
+        };
+        self.settle(claim, outcome).await
+    }
+
+    async fn dispatch(self: &Arc<Self>, request: JobRequest) -> Result<Vec<Bytes>, RequestError> {
+        let (done, finished) = oneshot::channel();
+        {
+            let now = self.clock.now();
+            let kinds = request.spec.tasks.iter().map(|it| it.kind.clone()).collect();
+            let active = ActiveJob {
+                inputs: request.inputs,
+                key: request.spec.key.clone(),
+                workspace: request.spec.workspace.to_string(),
+                kinds,
+                queued: Instant::now(),
+                deadline: request.spec.deadline,
+                done,
+            };
+            let mut state = self.lock();
+            let number = state.dispatcher.submit(request.spec, now);
+            state.active.insert(number, active);
+            self.carry_out(state);
+        }
+        finished.await.unwrap_or_else(|_| Err(internal_error()))
+    }
+
+    async fn settle(
+        &self,
+        claim: JobClaim,
+        outcome: JobOutcome,
+    ) -> Result<JobOutcome, RequestError> {
+        match self.control.call(LedgerCall::Settle(claim, outcome), SETTLE_MS).await {
+            CallEnd::Answered(LedgerAnswer::Settled(outcome)) => Ok(outcome),
+            CallEnd::Answered(_) | CallEnd::Awaited(_) | CallEnd::Unreachable => {
+                let message = "the ledger could not record the outcome in time";
+                Err(RequestError::new(ErrorKind::OutcomeUnknown, message))
+            }
+        }
+    }
+
+    /// Withdraws a claim that was not confirmed, so that no late copy of it is granted.
+    fn withdraw(self: &Arc<Self>, claim: JobClaim) {
+        let traffic = Arc::clone(self);
+        tokio::spawn(async move {
+            let message = "the claim was not confirmed in time";
+            let error = RequestError::new(ErrorKind::ClaimWithdrawn, message);
+            // Without an answer the ledger gives the claim up when this VM is gone.
+            let _ = traffic.settle(claim, JobOutcome::Failed(error)).await;
+        });
+    }
+
+    /// Waits for the outcome of a job that another submission of its key runs.
+    fn attach(
+        self: &Arc<Self>,
+        key: JobKey,
+        deadline: ClockTime,
+    ) -> oneshot::Receiver<Result<JobOutcome, RequestError>> {
+        let (answer, answered) = oneshot::channel();
+        let traffic = Arc::clone(self);
+        self.n_open.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(async move {
+            let span_ms = deadline.since_ms(traffic.clock.now()) + CALL_MS;
+            let result = match traffic.control.call(LedgerCall::Await(key.clone()), span_ms).await {
+                CallEnd::Awaited(Some(outcome)) => Ok(outcome),
+                CallEnd::Awaited(None) | CallEnd::Answered(_) | CallEnd::Unreachable => {
+                    Err(unreachable_error(&key))
+                }
+            };
+            let _ = answer.send(result);
+            traffic.n_open.fetch_sub(1, Ordering::SeqCst);
+        });
+        answered
+    }
+
+    /// Looks a key up.
+    pub async fn look_up(&self, key: &JobKey) -> CallEnd {
+        self.control.call(LedgerCall::Probe(key.clone()), CALL_MS).await
+    }
+
+    /// Cancels a job wherever it runs, and waits for its outcome.
+    pub async fn cancel(self: &Arc<Self>, key: &JobKey, owner: &OwnerId) -> CallEnd {
+        if owner.vm == self.owner.vm {
+            let now = self.clock.now();
+            self.update(|it| it.cancel(key, now));
+        } else {
+            self.control.send(owner.vm.clone(), PeerMessage::Cancel(key.clone()));
+        }
+        self.control.call(LedgerCall::Await(key.clone()), CALL_MS).await
+    }
+}
+
+fn task_request(
+    job: &ActiveJob,
+    task: TaskRef,
+    id: TaskId,
+    address: &str,
+) -> Option<Request<Full<Bytes>>> {
+    let input = job.inputs.get(task.idx as usize)?.clone();
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("/tasks/{id}"))
+        .header(HOST, address)
+        .header("content-type", "application/json")
+        .header("yuccamux-job", job.key.as_str())
+        .header("yuccamux-workspace", &job.workspace)
+        .header("yuccamux-kind", job.kinds.get(task.idx as usize)?.as_str())
+        .header("yuccamux-deadline-ms", job.deadline.0);
+    request.body(Full::new(input)).ok()
+}
+
+fn cancel_request(tasks: &[TaskId], address: &str) -> Option<Request<Full<Bytes>>> {
+    let names: Vec<String> = tasks.iter().map(ToString::to_string).collect();
+    let body = serde_json::to_vec(&names).ok()?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri("/cancel")
+        .header(HOST, address)
+        .header("content-type", "application/json");
+    request.body(Full::new(Bytes::from(body))).ok()
+}
+
+/// An output that is not JSON cannot be part of an answer: the task has failed.
+fn check_output(report: TaskReport) -> TaskReport {
+    if let TaskReport::Done(output) = &report
+        && serde_json::from_slice::<&RawValue>(output).is_err()
+    {
+        return TaskReport::Failed("the endpoint's output is not JSON".to_owned());
+    }
+    report
+}
+
+fn complete_body(key: &JobKey, outputs: &[Bytes]) -> Vec<u8> {
+    let outputs: Vec<Box<RawValue>> =
+        outputs.iter().filter_map(|it| serde_json::from_slice(it).ok()).collect();
+    let answer =
+        JobAnswer { job: key.to_string(), state: JobAnswerState::Complete, outputs, error: None };
+    serde_json::to_vec(&answer).unwrap_or_default()
+}
+
+fn internal_error() -> RequestError {
+    RequestError::new(ErrorKind::Internal, "a part of the entry has stopped")
+}
+
+fn unreachable_error(key: &JobKey) -> RequestError {
+    let message = format!("the ledger that holds key {key} cannot be reached");
+    RequestError::new(ErrorKind::HomeUnreachable, message)
+}
--- /dev/null
+++ b/adapters/src/lib.rs
@@ -0,0 +1,29 @@
+//! Adapters between the decisions of the `yuccamux` crate and the world: sockets,
+//! files, clocks, metrics and logs.
+//!
+//! The control state of a process lives on one thread ([`entry_control`],
+//! [`control_service`]); callers' and endpoints' traffic on others
+//! ([`job_traffic`], [`entry_http`]).
+
+pub mod bearer_guard;
+#[expect(missing_docs, reason = "generated code")]
+#[expect(clippy::all, reason = "generated code")]
+#[rustfmt::skip]
+pub mod border_types;
+pub mod connection_pool;
+pub mod control_http;
+pub mod control_service;
+mod control_thread;
+pub mod endpoint_client;
+pub mod entry_control;
+pub mod entry_http;
+pub mod entry_metrics;
+pub mod http_server;
+pub mod job_traffic;
+pub mod link_key;
+pub mod log_lines;
+pub mod log_store;
+pub mod peer_link;
+pub mod process_setup;
+pub mod setting_args;
+pub mod wall_clock;
--- /dev/null
+++ b/adapters/src/log_lines.rs
@@ -0,0 +1,50 @@
+//! Logs by log4rs: to standard error, as text or JSON, one line for a change of state.
+
+use log::LevelFilter;
+use log4rs::{
+    Config,
+    append::console::{ConsoleAppender, Target},
+    config::{Appender, Root},
+    encode::{Encode, json::JsonEncoder, pattern::PatternEncoder},
+};
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogForm {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+impl std::str::FromStr for LogForm {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<LogForm, String> {
+        match text {
+            "text" => Ok(LogForm::Text),
+            "json" => Ok(LogForm::Json),
+            _ => Err(format!("{text:?} is not one of: text, json")),
+        }
+    }
+}
+
+/// Starts logging to standard error.
+///
+/// # Errors
+///
+/// When logging was started before.
+pub fn start(form: LogForm) -> anyhow::Result<()> {
+    let encoder: Box<dyn Encode> = match form {
+        LogForm::Text => {
+            Box::new(PatternEncoder::new("{d(%Y-%m-%dT%H:%M:%S%.3f)(utc)} {l} {m}{n}"))
+        }
+        LogForm::Json => Box::new(JsonEncoder::new()),
+    };
+    let appender = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let config = Config::builder()
+        .appender(Appender::builder().build("stderr", Box::new(appender)))
+        .build(Root::builder().appender("stderr").build(LevelFilter::Info))?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- /dev/null
+++ b/adapters/src/log_store.rs
@@ -0,0 +1,244 @@
+//! A control replica's durable state: one file of checksummed frames.
+//!
+//! Each batch of changes is one frame, written and synced before anything that
+//! depends on it leaves the process. So only the last frame can be torn by a crash: it
+//! was never acknowledged and is cut off. Damage before the last frame is refused. A
+//! snapshot begins a new file, which takes the place of the old one by a rename.
+//!
+//! A frame is a mark, a length and a CRC-32 in little endian, then postcard.
+
+use std::{
+    fs::{self, File, OpenOptions, TryLockError},
+    io::{Read, Write},
+    path::{Path, PathBuf},
+};
+
+use anyhow::{Context, bail, ensure};
+use serde::{Deserialize, Serialize};
+use yuccamux::{
+    prelude::VmName,
+    replica_effect::{HardState, StoreEffect},
+    replica_log::{LogEntry, LogSnapshot, ReplicaLog},
+};
+
+const FRAME_MARK: [u8; 4] = *b"yxf1";
+const FRAME_HEAD_BYTES: usize = 12;
+const LOG_NAME: &str = "replica.log";
+const NEW_LOG_NAME: &str = "replica.log.new";
+const LOCK_NAME: &str = "lock";
+const OWNER_NAME: &str = "vm";
+
+/// What a frame holds.
+#[derive(Serialize, Deserialize)]
+enum StoredChange {
+    State(HardState),
+    Append(Vec<LogEntry>),
+    TruncateFrom(u64),
+    Snapshot(LogSnapshot),
+}
+
+/// The open data folder of a control replica.
+pub struct LogStore {
+    folder: PathBuf,
+    file: File,
+    hard: Option<HardState>,
+    log: ReplicaLog,
+    n_syncs: u64,
+    _lock: File,
+}
+
+impl LogStore {
+    /// Opens the data folder of a VM, making it if need be.
+    ///
+    /// # Errors
+    ///
+    /// When another process has the folder open, it belongs to another VM, or the log
+    /// is damaged before its last frame.
+    pub fn open(folder: &Path, vm: &VmName) -> anyhow::Result<LogStore> {
+        fs::create_dir_all(folder)
+            .with_context(|| format!("could not make the data folder {}", folder.display()))?;
+        let lock = lock_folder(folder)?;
+        check_owner(folder, vm)?;
+        let path = folder.join(LOG_NAME);
+        let bytes = read_or_empty(&path)?;
+        let (frames, n_whole) =
+            split_frames(&bytes).with_context(|| format!("{} is damaged", path.display()))?;
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        if n_whole < bytes.len() {
+            file.set_len(n_whole as u64)?;
+            file.sync_all()?;
+        }
+        let mut store = LogStore {
+            folder: folder.to_owned(),
+            file,
+            hard: None,
+            log: ReplicaLog::default(),
+            n_syncs: 0,
+            _lock: lock,
+        };
+        for frame in frames {
+            let changes: Vec<StoredChange> = postcard::from_bytes(frame)
+                .with_context(|| format!("{} is of another version", path.display()))?;
+            changes.into_iter().for_each(|it| store.replay(it));
+        }
+        sync_folder(folder)?;
+        Ok(store)
+    }
+
+    /// The state found, or none in an empty folder.
+    pub fn stored(&self) -> Option<(HardState, ReplicaLog)> {
+        Some((self.hard.clone()?, self.log.clone()))
+    }
+
+    /// Syncs so far.
+    pub fn n_syncs(&self) -> u64 {
+        self.n_syncs
+    }
+
+    /// Carries out changes in order, all of them durable on return.
+    pub fn commit(&mut self, effects: Vec<StoreEffect>) -> anyhow::Result<()> {
+        let mut changes = Vec::new();
+        for effect in effects {
+            match effect {
+                StoreEffect::SaveState(hard) => changes.push(StoredChange::State(hard)),
+                StoreEffect::Append(entries) => changes.push(StoredChange::Append(entries)),
+                StoreEffect::TruncateFrom(index) => changes.push(StoredChange::TruncateFrom(index)),
+                StoreEffect::SaveSnapshot(snapshot) => {
+                    self.append(std::mem::take(&mut changes))?;
+                    self.replay(StoredChange::Snapshot(snapshot));
+                    self.rewrite()?;
+                }
+                StoreEffect::Reset(hard) => {
+                    changes.clear();
+                    self.log = ReplicaLog::default();
+                    self.hard = Some(hard);
+                    self.rewrite()?;
+                }
+            }
+        }
+        self.append(changes)
+    }
+
+    fn append(&mut self, changes: Vec<StoredChange>) -> anyhow::Result<()> {
+        if changes.is_empty() {
+            return Ok(());
+        }
+        self.file.write_all(&frame(&changes)?)?;
+        self.file.sync_data()?;
+        self.n_syncs += 1;
+        changes.into_iter().for_each(|it| self.replay(it));
+        Ok(())
+    }
+
+    /// Writes the whole state to a new file, which then takes the place of the old one.
+    fn rewrite(&mut self) -> anyhow::Result<()> {
+        let mut changes = vec![StoredChange::Snapshot(self.log.snapshot().clone())];
+        changes.extend(self.hard.clone().map(StoredChange::State));
+        let first = self.log.snapshot().index + 1;
+        let entries = self.log.entries_from(first, usize::MAX, usize::MAX).to_vec();
+        changes.push(StoredChange::Append(entries));
+        let new_path = self.folder.join(NEW_LOG_NAME);
+        let path = self.folder.join(LOG_NAME);
+        let mut file = File::create(&new_path)?;
+        file.write_all(&frame(&changes)?)?;
+        file.sync_all()?;
+        fs::rename(&new_path, &path)?;
+        sync_folder(&self.folder)?;
+        self.file = OpenOptions::new().append(true).open(&path)?;
+        self.n_syncs += 1;
+        Ok(())
+    }
+
+    /// Applies a change to the copy in memory.
+    fn replay(&mut self, change: StoredChange) {
+        match change {
+            StoredChange::State(hard) => self.hard = Some(hard),
+            StoredChange::Append(entries) => entries.into_iter().for_each(|it| self.log.push(it)),
+            StoredChange::TruncateFrom(index) => self.log.truncate_from(index),
+            StoredChange::Snapshot(snapshot) => self.log.install(snapshot),
+        }
+    }
+}
+
+fn lock_folder(folder: &Path) -> anyhow::Result<File> {
+    let lock = File::create(folder.join(LOCK_NAME))?;
+    match lock.try_lock() {
+        Ok(()) => Ok(lock),
+        Err(TryLockError::WouldBlock) => bail!(
+            "the data folder {} is in use by another process; \
+             stop that process or give another --data-folder",
+            folder.display()
+        ),
+        Err(TryLockError::Error(error)) => Err(error).context("could not lock the data folder"),
+    }
+}
+
+fn check_owner(folder: &Path, vm: &VmName) -> anyhow::Result<()> {
+    let path = folder.join(OWNER_NAME);
+    let owner = String::from_utf8(read_or_empty(&path)?).unwrap_or_default();
+    if owner.is_empty() {
+        let mut file = File::create(&path)?;
+        file.write_all(vm.as_str().as_bytes())?;
+        file.sync_all()?;
+        return Ok(());
+    }
+    ensure!(
+        owner == vm.as_str(),
+        "the data folder {} belongs to VM {owner}, not to {vm}; \
+         give the folder of {vm}, or an empty one to start it without its state",
+        folder.display()
+    );
+    Ok(())
+}
+
+fn read_or_empty(path: &Path) -> anyhow::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    match File::open(path) {
+        Ok(mut file) => file.read_to_end(&mut bytes).map(|_| bytes).map_err(Into::into),
+        Err(error) if error.kind() == std::io::ErrorKind::NotFound => Ok(bytes),
+        Err(error) => Err(error).with_context(|| format!("could not read {}", path.display())),
+    }
+}
+
+fn sync_folder(folder: &Path) -> anyhow::Result<()> {
+    File::open(folder)?.sync_all().context("could not sync the data folder")
+}
+
+fn frame(changes: &[StoredChange]) -> anyhow::Result<Vec<u8>> {
+    let body = postcard::to_stdvec(changes)?;
+    let mut frame = Vec::with_capacity(FRAME_HEAD_BYTES + body.len());
+    frame.extend_from_slice(&FRAME_MARK);
+    frame.extend_from_slice(&u32::try_from(body.len())?.to_le_bytes());
+    frame.extend_from_slice(&crc32fast::hash(&body).to_le_bytes());
+    frame.extend_from_slice(&body);
+    Ok(frame)
+}
+
+/// The bodies of all whole frames, and the bytes up to the end of the last one.
+fn split_frames(bytes: &[u8]) -> anyhow::Result<(Vec<&[u8]>, usize)> {
+    let mut frames = Vec::new();
+    let mut at = 0;
+    while at < bytes.len() {
+        let Some(body) = whole_frame(&bytes[at..]) else {
+            // Only the last frame can be torn, so no whole frame may follow.
+            let follows = (at + 1..bytes.len()).any(|it| whole_frame(&bytes[it..]).is_some());
+            ensure!(
+                !follows,
+                "the frame at byte {at} is damaged and others follow; \
+                 the VM must come back with an empty data folder"
+            );
+            break;
+        };
+        frames.push(body);
+        at += FRAME_HEAD_BYTES + body.len();
+    }
+    Ok((frames, at))
+}
+
+fn whole_frame(bytes: &[u8]) -> Option<&[u8]> {
+    let rest = bytes.strip_prefix(&FRAME_MARK)?;
+    let n_body = u32::from_le_bytes(rest.get(..4)?.try_into().ok()?) as usize;
+    let checksum = u32::from_le_bytes(rest.get(4..8)?.try_into().ok()?);
+    let body = rest.get(8..8 + n_body)?;
+    (crc32fast::hash(body) == checksum).then_some(body)
+}
--- /dev/null
+++ b/adapters/src/process_setup.rs
@@ -0,0 +1,102 @@
+//! What every process of the system does with its settings at the start.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use anyhow::{Context, bail, ensure};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+use yuccamux::{
+    prelude::VmName,
+    vm_layout::{VmLayout, VmRole, VmSpec},
+};
+
+use crate::{bearer_guard::BearerGuard, link_key::LinkKeys};
+
+/// Reads `--vms` and checks that it names this VM with its role.
+///
+/// # Errors
+///
+/// When an entry of the list is malformed, a name stands twice, or this VM is missing.
+pub fn read_layout(vms: &str, own: &VmName, role: VmRole) -> anyhow::Result<VmLayout> {
+    let mut specs: Vec<VmSpec> = Vec::new();
+    for text in vms.split(',').map(str::trim).filter(|it| !it.is_empty()) {
+        let spec: VmSpec = text.parse().map_err(|error| anyhow::anyhow!("--vms: {error}"))?;
+        if specs.iter().any(|it| it.name == spec.name) {
+            bail!("--vms: VM {} stands twice", spec.name);
+        }
+        specs.push(spec);
+    }
+    let layout = VmLayout::new(specs);
+    let known = layout.vms().iter().map(|it| it.name.as_str()).collect::<Vec<_>>().join(", ");
+    let Some(spec) = layout.vm(own) else {
+        bail!("--name: VM {own} is not in --vms, which names {known}");
+    };
+    ensure!(spec.role == role, "--name: VM {own} has another role in --vms");
+    Ok(layout)
+}
+
+/// Reads bearer tokens, or accepts all requests when no file is given.
+///
+/// # Errors
+///
+/// When the file cannot be read or holds no token.
+pub fn read_guard(flag: &str, path: Option<&PathBuf>) -> anyhow::Result<BearerGuard> {
+    match path {
+        Some(path) => BearerGuard::read(path).with_context(|| flag.to_owned()),
+        None => Ok(BearerGuard::open()),
+    }
+}
+
+/// Reads the keys of the links between processes, or goes without.
+///
+/// # Errors
+///
+/// When the file cannot be read or holds no one or two keys.
+pub fn read_link_keys(path: Option<&PathBuf>) -> anyhow::Result<LinkKeys> {
+    match path {
+        Some(path) => LinkKeys::read(path).context("--link-keys"),
+        None => Ok(LinkKeys::without_secret()),
+    }
+}
+
+/// Refuses an address other than loopback where something is unguarded.
+///
+/// # Errors
+///
+/// When `address` is not loopback and `guard` names what is missing.
+pub fn check_exposure(address: SocketAddr, missing_guard: Option<&str>) -> anyhow::Result<()> {
+    let Some(guard) = missing_guard else { return Ok(()) };
+    ensure!(
+        address.ip().is_loopback(),
+        "{address} is not loopback: give {guard}, or bind to 127.0.0.1"
+    );
+    Ok(())
+}
+
+/// Binds the HTTP address.
+///
+/// # Errors
+///
+/// When it is malformed or taken.
+pub async fn bind_http(address: SocketAddr) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("--listen: could not listen on {address}; is it in use?"))
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// When signals cannot be caught.
+pub async fn wait_for_stop() -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
