testutils: randomised runs of the whole system in virtual time

Entries, control VMs, endpoints and callers run the decisions of the binaries; sockets, disks and clocks are fakes. Submissions became a state machine in lib so that the runs cover them.

--- a/adapters/src/entry_http.rs
+++ b/adapters/src/entry_http.rs
@@ -15,6 +15,7 @@
     entry_node::CallEnd,
     job_ledger::{JobOutcome, LedgerAnswer},
     job_run::{JobSpec, RepeatRule, TaskSpec},
+    job_submission::KeyOrigin,
     prelude::*,
 };
 
@@ -25,7 +26,7 @@
         CloseConnection, HttpAnswer, HttpRequest, ServerLimits, error_answer, error_body,
         header_text, json_answer, read_body, set_error_headers, text_answer, value_answer,
     },
-    job_traffic::{JobRequest, JobStart, JobTraffic, KeyOrigin},
+    job_traffic::{JobRequest, JobStart, JobTraffic},
 };
 
 /// Most tasks in a job.
--- a/adapters/src/job_traffic.rs
+++ b/adapters/src/job_traffic.rs
@@ -24,8 +24,9 @@
 use yuccamux::{
     entry_node::{CALL_MS, CallEnd, LedgerCall},
     job_dispatcher::{DispatchEffect, JobDispatcher},
-    job_ledger::{JobClaim, JobOutcome, LedgerAnswer, OwnerId},
+    job_ledger::{JobClaim, JobOutcome, OwnerId},
     job_run::{JobNumber, JobSpec, JobTrace, TaskRef, TaskReport},
+    job_submission::{JobSubmission, KeyOrigin, SubmissionStep},
     peer_message::PeerMessage,
     prelude::*,
 };
@@ -42,8 +43,6 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Time between reports of the load to other entries, in ticks.
 const LOAD_TICKS: u64 = 5;
-/// Time that recording an outcome may take, in ms.
-const SETTLE_MS: u64 = 30_000;
 /// Time after a job's deadline for which its tasks are still waited for.
 const TASK_GRACE: Duration = Duration::from_secs(30);
 
@@ -60,15 +59,6 @@
     pub key_origin: KeyOrigin,
 }
 
-/// Who chose a key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeyOrigin {
-    /// The caller, who may use it again.
-    Caller,
-    /// This entry, for this submission alone.
-    Entry,
-}
-
 /// How a submission began.
 pub enum JobStart {
     /// It runs here, or another copy of it runs; the answer will come.
@@ -79,6 +69,15 @@
     Refused(RequestError),
 }
 
+impl From<Result<JobOutcome, RequestError>> for JobStart {
+    fn from(result: Result<JobOutcome, RequestError>) -> JobStart {
+        match result {
+            Ok(outcome) => JobStart::Ended(outcome),
+            Err(error) => JobStart::Refused(error),
+        }
+    }
+}
+
 struct ActiveJob {
     inputs: Vec<Bytes>,
     key: JobKey,
@@ -262,82 +261,92 @@
         self.update(|it| it.finish_task(task, endpoint, report, run_ms, now));
     }
 
-    /// Begins a submission: admission, claim, and the run in a task of its own.
+    /// Begins a submission; it goes on by itself once the job runs.
     pub async fn submit(self: &Arc<Self>, request: JobRequest) -> JobStart {
-        if let Err(error) = self.control.check_ready() {
-            return self.refuse(&request, error).await;
-        }
-        let admitted = {
-            let now = self.clock.now();
-            let spec = &request.spec;
-            let kinds: Vec<KindName> = spec.tasks.iter().map(|it| it.kind.clone()).collect();
-            self.lock().dispatcher.admit(&spec.workspace, &kinds, spec.deadline, now)
-        };
-        if let Err(error) = admitted {
-            return self.refuse(&request, error).await;
-        }
+        let admitted = self.admit(&request.spec);
         let claim = JobClaim {
             key: request.spec.key.clone(),
             digest: request.digest,
             owner: self.owner.clone(),
             nonce: rand::random(),
         };
-        match self.control.call(LedgerCall::Claim(claim.clone()), CALL_MS).await {
-            CallEnd::Answered(LedgerAnswer::Granted) => {
-                let (answer, answered) = oneshot::channel();
-                let traffic = Arc::clone(self);
-                self.n_open.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(async move {
-                    let result = traffic.run_job(request, claim).await;
-                    // The caller may have hung up; the ledger keeps the outcome.
-                    let _ = answer.send(result);
-                    traffic.n_open.fetch_sub(1, Ordering::SeqCst);
-                });
-                JobStart::Running(answered)
-            }
-            CallEnd::Answered(LedgerAnswer::Attached(_, Some(outcome))) => JobStart::Ended(outcome),
-            CallEnd::Answered(LedgerAnswer::Attached(_, None)) => {
-                JobStart::Running(self.attach(request.spec.key, request.spec.deadline))
+        let mut submission = JobSubmission::new(claim, request.key_origin, request.spec.deadline);
+        let mut step = submission.begin(admitted);
+        loop {
+            if submission.is_running() {
+                return JobStart::Running(self.go_on(submission, step, request));
             }
-            CallEnd::Answered(LedgerAnswer::Refused(error)) => JobStart::Refused(error),
-            CallEnd::Answered(_) | CallEnd::Awaited(_) => JobStart::Refused(internal_error()),
-            CallEnd::Unreachable => {
-                self.withdraw(claim);
-                JobStart::Refused(unreachable_error(&request.spec.key))
+            match step {
+                SubmissionStep::Call(call, span_ms) => {
+                    let end = self.control.call(call, span_ms).await;
+                    step = submission.on_call_end(end, self.clock.now());
+                }
+                SubmissionStep::Answer(result) => return JobStart::from(result),
+                SubmissionStep::AnswerAndWithdraw(error, call, span_ms) => {
+                    let control = self.control.clone();
+                    // Without an answer the ledger gives the claim up when this VM is gone.
+                    tokio::spawn(async move { control.call(call, span_ms).await });
+                    return JobStart::Refused(error);
+                }
+                // A job that is dispatched counts as running.
+                SubmissionStep::Dispatch => return JobStart::Refused(internal_error()),
             }
         }
     }
 
-    /// Refuses a submission as not run, unless an earlier copy of it is known.
-    async fn refuse(self: &Arc<Self>, request: &JobRequest, error: RequestError) -> JobStart {
-        if request.key_origin == KeyOrigin::Entry {
-            return JobStart::Refused(error);
-        }
-        let key = &request.spec.key;
-        match self.control.call(LedgerCall::Probe(key.clone()), CALL_MS).await {
-            CallEnd::Answered(LedgerAnswer::Unclaimed) => JobStart::Refused(error),
-            CallEnd::Answered(LedgerAnswer::Attached(_, Some(outcome))) => JobStart::Ended(outcome),
-            CallEnd::Answered(LedgerAnswer::Attached(_, None)) => {
-                JobStart::Running(self.attach(key.clone(), request.spec.deadline))
-            }
-            CallEnd::Answered(LedgerAnswer::Refused(known)) => JobStart::Refused(known),
-            CallEnd::Answered(_) | CallEnd::Awaited(_) => JobStart::Refused(internal_error()),
-            CallEnd::Unreachable => JobStart::Refused(unreachable_error(key)),
-        }
+    fn admit(&self, spec: &JobSpec) -> Result<(), RequestError> {
+        self.control.check_ready()?;
+        let kinds: Vec<KindName> = spec.tasks.iter().map(|it| it.kind.clone()).collect();
+        let now = self.clock.now();
+        self.lock().dispatcher.admit(&spec.workspace, &kinds, spec.deadline, now)
+    }
+
+    /// Takes the remaining steps whether or not the caller stays.
+    fn go_on(
+        self: &Arc<Self>,
+        submission: JobSubmission,
+        step: SubmissionStep,
+        request: JobRequest,
+    ) -> oneshot::Receiver<Result<JobOutcome, RequestError>> {
+        let (answer, answered) = oneshot::channel();
+        let traffic = Arc::clone(self);
+        self.n_open.fetch_add(1, Ordering::SeqCst);
+        tokio::spawn(async move {
+            let result = traffic.take_steps(submission, step, request).await;
+            // The caller may have hung up; the ledger keeps the outcome.
+            let _ = answer.send(result);
+            traffic.n_open.fetch_sub(1, Ordering::SeqCst);
+        });
+        answered
     }
 
-    /// Runs a job whose claim was granted, and records its outcome.
-    async fn run_job(
+    async fn take_steps(
         self: &Arc<Self>,
+        mut submission: JobSubmission,
+        mut step: SubmissionStep,
         request: JobRequest,
-        claim: JobClaim,
     ) -> Result<JobOutcome, RequestError> {
-        let result = self.dispatch(request).await;
-        let outcome = match result {
-            Ok(outputs) => JobOutcome::Complete(complete_body(&claim.key, &outputs)),
-            Err(error) => JobOutcome::Failed(error),
-        };
-        self.settle(claim, outcome).await
+        let mut request = Some(request);
+        loop {
+            step = match step {
+                SubmissionStep::Call(call, span_ms) => {
+                    let end = self.control.call(call, span_ms).await;
+                    submission.on_call_end(end, self.clock.now())
+                }
+                SubmissionStep::Dispatch => {
+                    let Some(request) = request.take() else { return Err(internal_error()) };
+                    let outcome = match self.dispatch(request).await {
+                        Ok(outputs) => {
+                            JobOutcome::Complete(complete_body(&submission.claim().key, &outputs))
+                        }
+                        Err(error) => JobOutcome::Failed(error),
+                    };
+                    submission.on_finish(outcome)
+                }
+                SubmissionStep::Answer(result) => return result,
+                SubmissionStep::AnswerAndWithdraw(error, ..) => return Err(error),
+            };
+        }
     }
 
     async fn dispatch(self: &Arc<Self>, request: JobRequest) -> Result<Vec<Bytes>, RequestError> {
@@ -362,54 +371,6 @@
         finished.await.unwrap_or_else(|_| Err(internal_error()))
     }
 
-    async fn settle(
-        &self,
-        claim: JobClaim,
-        outcome: JobOutcome,
-    ) -> Result<JobOutcome, RequestError> {
-        match self.control.call(LedgerCall::Settle(claim, outcome), SETTLE_MS).await {
-            CallEnd::Answered(LedgerAnswer::Settled(outcome)) => Ok(outcome),
-            CallEnd::Answered(_) | CallEnd::Awaited(_) | CallEnd::Unreachable => {
-                let message = "the ledger could not record the outcome in time";
-                Err(RequestError::new(ErrorKind::OutcomeUnknown, message))
-            }
-        }
-    }
-
-    /// Withdraws a claim that was not confirmed, so that no late copy of it is granted.
-    fn withdraw(self: &Arc<Self>, claim: JobClaim) {
-        let traffic = Arc::clone(self);
-        tokio::spawn(async move {
-            let message = "the claim was not confirmed in time";
-            let error = RequestError::new(ErrorKind::ClaimWithdrawn, message);
-            // Without an answer the ledger gives the claim up when this VM is gone.
-            let _ = traffic.settle(claim, JobOutcome::Failed(error)).await;
-        });
-    }
-
-    /// Waits for the outcome of a job that another submission of its key runs.
-    fn attach(
-        self: &Arc<Self>,
-        key: JobKey,
-        deadline: ClockTime,
-    ) -> oneshot::Receiver<Result<JobOutcome, RequestError>> {
-        let (answer, answered) = oneshot::channel();
-        let traffic = Arc::clone(self);
-        self.n_open.fetch_add(1, Ordering::SeqCst);
-        tokio::spawn(async move {
-            let span_ms = deadline.since_ms(traffic.clock.now()) + CALL_MS;
-            let result = match traffic.control.call(LedgerCall::Await(key.clone()), span_ms).await {
-                CallEnd::Awaited(Some(outcome)) => Ok(outcome),
-                CallEnd::Awaited(None) | CallEnd::Answered(_) | CallEnd::Unreachable => {
-                    Err(unreachable_error(&key))
-                }
-            };
-            let _ = answer.send(result);
-            traffic.n_open.fetch_sub(1, Ordering::SeqCst);
-        });
-        answered
-    }
-
     /// Looks a key up.
     pub async fn look_up(&self, key: &JobKey) -> CallEnd {
         self.control.call(LedgerCall::Probe(key.clone()), CALL_MS).await
@@ -478,8 +439,3 @@
 fn internal_error() -> RequestError {
     RequestError::new(ErrorKind::Internal, "a part of the entry has stopped")
 }
-
-fn unreachable_error(key: &JobKey) -> RequestError {
-    let message = format!("the ledger that holds key {key} cannot be reached");
-    RequestError::new(ErrorKind::HomeUnreachable, message)
-}
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -18,7 +18,7 @@
     proposal_client::{GroupRequest, ProposalClient, RequestEnd, RequestSend},
     replica_effect::{HardState, StoreEffect},
     replica_log::ReplicaLog,
-    replica_node::{FoundingRule, LeaderRule, ReplicaNode, ReplicaRole, ReplicaSettings},
+    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings},
     vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
 };
 
@@ -89,7 +89,7 @@
         let group_vms = settings.layout.with_role(VmRole::Control);
         let replica_settings = ReplicaSettings {
             vms: group_vms.clone(),
-            leader_rule: LeaderRule::MayLead,
+            witness: None,
             founding_rule: FoundingRule::All,
             election_ms: settings.election_ms,
             heartbeat_ms: settings.heartbeat_ms,
--- a/lib/src/dispatch_leases.rs
+++ b/lib/src/dispatch_leases.rs
@@ -62,7 +62,7 @@
                 }
                 for (name, n_slots) in loans {
                     if let Some(slots) = self.endpoints.get_mut(&name) {
-                        slots.lease.borrow(from, n_slots);
+                        slots.lease.borrow(from, n_slots, now);
                     }
                 }
                 self.dispatch(now);
@@ -101,7 +101,7 @@
                 continue;
             }
             let n_free = slots.n_free(trust, now);
-            let n_lent = slots.lease.lend(to, n_left, n_free);
+            let n_lent = slots.lease.lend(to, n_left, n_free, now);
             if 0 < n_lent {
                 n_left -= n_lent;
                 loans.push((name, n_lent));
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -17,7 +17,7 @@
     peer_table::{PeerHeartbeat, PeerTable},
     prelude::*,
     proposal_client::{GroupRequest, ProposalClient, RequestEnd, RequestSend},
-    replica_node::{FoundingRule, LeaderRule, ReplicaNode, ReplicaRole, ReplicaSettings},
+    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings},
     slot_leases::LeaseMessage,
     vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
     workspace_template::{self, ResolvedConfig},
@@ -158,7 +158,7 @@
             let group = GroupName::from(home.as_str());
             let vms = layout.ledger_vms(home);
             if vms.contains(&settings.owner.vm) {
-                let ledger = new_ledger(&settings, home == &centre, &vms, now);
+                let ledger = new_ledger(&settings, home, &vms, now);
                 ledgers.insert(group.clone(), ledger);
             }
             group_vms.insert(group, vms);
@@ -261,6 +261,9 @@
     /// Says that this VM takes no new work.
     pub fn stop(&mut self, now: ClockTime) {
         self.stopping = true;
+        for ledger in self.ledgers.values_mut() {
+            ledger.hand_over();
+        }
         self.heartbeat_at = now;
         self.tick(now);
     }
@@ -606,13 +609,13 @@
 
 fn new_ledger(
     settings: &EntrySettings,
-    is_home: bool,
+    home: &DataCentre,
     vms: &[VmName],
     now: ClockTime,
 ) -> LedgerGroup {
     let replica_settings = ReplicaSettings {
         vms: vms.to_vec(),
-        leader_rule: if is_home { LeaderRule::MayLead } else { LeaderRule::Witness },
+        witness: settings.layout.ledger_witness(home),
         founding_rule: FoundingRule::Majority,
         election_ms: settings.election_ms,
         heartbeat_ms: settings.heartbeat_ms,
--- a/lib/src/job_dispatcher.rs
+++ b/lib/src/job_dispatcher.rs
@@ -490,6 +490,9 @@
         self.refresh_acceptance(now);
         self.pass_deadlines(now);
         self.note_stalls(now);
+        for slots in self.endpoints.values_mut() {
+            slots.lease.expire(now);
+        }
         self.unpark();
         self.flush_cancels();
         self.dispatch(now);
--- a/lib/src/job_ledger.rs
+++ b/lib/src/job_ledger.rs
@@ -306,10 +306,12 @@
 
     fn settle(&mut self, claim: JobClaim, outcome: JobOutcome) -> LedgerAnswer {
         let Some(record) = self.jobs.get(&claim.key) else {
-            // The claim never came or is forgotten; a later copy of it must not be granted.
-            if self.check_new_key(&claim.key).is_ok() {
-                self.insert_settled(claim, &outcome);
+            // Where the key cannot be claimed any more, another outcome may have been told.
+            if let Err(error) = self.check_new_key(&claim.key) {
+                return LedgerAnswer::Refused(error);
             }
+            // The claim never came; a later copy of it must not be granted.
+            self.insert_settled(claim, &outcome);
             return LedgerAnswer::Settled(outcome);
         };
         if record.nonce != claim.nonce || record.owner != claim.owner {
--- a/lib/src/ledger_group.rs
+++ b/lib/src/ledger_group.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// Hands the lead to a replica that has caught up, now and whenever it would lead.
+    pub fn hand_over(&mut self) {
+        self.group.hand_over();
+    }
+
     /// Sends what was proposed.
     pub fn flush(&mut self, now: ClockTime) {
         self.group.flush(now);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod job_key;
 pub mod job_ledger;
 pub mod job_run;
+pub mod job_submission;
 pub mod ledger_group;
 pub mod log_group;
 pub mod peer_message;
--- a/lib/src/log_group.rs
+++ b/lib/src/log_group.rs
@@ -111,6 +111,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Hands the lead to a replica that has caught up, now and whenever it would lead.
+    pub fn hand_over(&mut self) {
+        self.node.hand_over();
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: ClockTime) {
         self.node.tick(now);
--- a/lib/src/replica_election.rs
+++ b/lib/src/replica_election.rs
@@ -4,9 +4,12 @@
     prelude::*,
     replica_log::EntryPayload,
     replica_message::{ReplicaBody, VoteAnswer, VotePhase},
-    replica_node::{LeaderRule, PeerProgress, ReplicaNode, ReplicaRole},
+    replica_node::{PeerProgress, ReplicaNode, ReplicaRole},
 };
 
+/// Silence of the leader after which a witness stands for election, in election times.
+const WITNESS_ELECTIONS: u64 = 4;
+
 impl ReplicaNode {
     /// Stands for election when the leader has been silent for too long.
     pub(crate) fn tick_follower(&mut self, now: ClockTime) {
@@ -14,18 +17,53 @@
             self.begin_new_life(now);
             return;
         }
+        self.report_stranded(now);
         if now < self.election_at {
             return;
         }
         self.reset_election(now);
         self.leader = None;
-        if self.may_stand() {
+        if self.may_stand(now) {
             self.ask_votes(VotePhase::Pre, now);
         }
     }
 
-    fn may_stand(&self) -> bool {
-        self.settings.leader_rule == LeaderRule::MayLead && self.voters().contains(&self.hard.id)
+    /// A witness stands when the others had time for an election of their own: it may
+    /// hold entries that none of them has.
+    fn may_stand(&self, now: ClockTime) -> bool {
+        let is_reluctant =
+            self.is_witness_vm(&self.hard.id.vm) || self.handing_over;
+        let silent_ms = now.since_ms(self.heard_at);
+        let had_time = self.settings.election_ms * WITNESS_ELECTIONS <= silent_ms;
+        self.voters().contains(&self.hard.id) && (!is_reluctant || had_time)
+    }
+
+    /// Hands the lead to a voter that has all entries, if this replica should not lead.
+    pub(crate) fn hand_over_lead(&mut self) {
+        if !self.is_witness_vm(&self.hard.id.vm) && !self.handing_over {
+            return;
+        }
+        let last_index = self.log.last_index();
+        let voters = self.voters();
+        let ready = self.progress.iter().find(|(id, it)| {
+            voters.contains(*id) && it.matched == last_index && !self.is_witness_vm(&id.vm)
+        });
+        if let Some(id) = ready.map(|(id, _)| id.clone()) {
+            self.send(&id, ReplicaBody::TakeOver);
+        }
+    }
+
+    pub(crate) fn is_witness_vm(&self, vm: &VmName) -> bool {
+        self.settings.witness.as_ref() == Some(vm)
+    }
+
+    /// Stands for election at once, as the leader asks.
+    pub(crate) fn on_take_over(&mut self, from: &ReplicaId, term: u64, now: ClockTime) {
+        let is_from_leader = self.leader.as_ref() == Some(from) && term == self.hard.term;
+        if is_from_leader && self.voters().contains(&self.hard.id) {
+            self.reset_election(now);
+            self.ask_votes(VotePhase::Real, now);
+        }
     }
 
     fn ask_votes(&mut self, phase: VotePhase, now: ClockTime) {
--- a/lib/src/replica_founding.rs
+++ b/lib/src/replica_founding.rs
@@ -18,14 +18,18 @@
     replica_log::LogSnapshot,
     replica_message::{ReplicaBody, ReplicaMessage},
     replica_node::{
-        FoundingRule, FreshSighting, LeaderRule, PeerProgress, ReplicaNode, ReplicaRole,
+        FoundingRule, FreshSighting, PeerProgress, ReplicaNode, ReplicaRole,
     },
 };
 
 /// Time for which a replica looks for a group before it founds one, in election times.
 const SEEK_ELECTIONS: u64 = 3;
+/// Further time for each VM without state that stands before this one in the group.
+const RANK_ELECTIONS: u64 = 2;
 /// Time after which a fruitless pledge or a lost group is given up, in election times.
 const GIVE_UP_ELECTIONS: u64 = 8;
+/// Silence of the leader after which the other VMs are told, in election times.
+const STRANDED_ELECTIONS: u64 = 4;
 /// Age up to which a sighting of a VM without state counts, in election times.
 const SIGHTING_ELECTIONS: u64 = 2;
 
@@ -44,8 +48,8 @@
         }
         self.heartbeat_at = now.plus_ms(self.settings.heartbeat_ms);
         self.send_to_vms(&ReplicaBody::Seek);
-        let seek_ms = self.settings.election_ms * SEEK_ELECTIONS;
-        if seek_ms <= in_role_ms && self.may_found(now) {
+        let n_elections = SEEK_ELECTIONS + RANK_ELECTIONS * self.n_fresh_ahead(now);
+        if self.settings.election_ms * n_elections <= in_role_ms && self.may_found(now) {
             self.ask_pledges(now);
         }
     }
@@ -55,12 +59,22 @@
         self.fresh.values().filter(|it| now.since_ms(it.heard_at) <= limit_ms).count()
     }
 
+    /// VMs without state that should found the group before this one.
+    fn n_fresh_ahead(&self, now: ClockTime) -> u64 {
+        let limit_ms = self.settings.election_ms * SIGHTING_ELECTIONS;
+        let ahead = self.settings.vms.iter().take_while(|it| **it != self.hard.id.vm);
+        let fresh = ahead.filter(|it| {
+            self.fresh.get(*it).is_some_and(|it| now.since_ms(it.heard_at) <= limit_ms)
+        });
+        fresh.count() as u64
+    }
+
     fn may_found(&self, now: ClockTime) -> bool {
         let n_needed = match self.settings.founding_rule {
             FoundingRule::Majority => self.quorum(),
             FoundingRule::All => self.settings.vms.len(),
         };
-        self.settings.leader_rule == LeaderRule::MayLead && n_needed <= self.n_fresh(now) + 1
+        !self.is_witness_vm(&self.hard.id.vm) && n_needed <= self.n_fresh(now) + 1
     }
 
     fn ask_pledges(&mut self, now: ClockTime) {
@@ -232,6 +246,17 @@
         true
     }
 
+    /// Tells the other VMs that no leader is heard, so that one of a newer generation
+    /// can say so.
+    pub(crate) fn report_stranded(&mut self, now: ClockTime) {
+        let silent_ms = self.settings.election_ms * STRANDED_ELECTIONS;
+        if now.since_ms(self.heard_at) < silent_ms || now < self.heartbeat_at {
+            return;
+        }
+        self.heartbeat_at = now.plus_ms(self.settings.heartbeat_ms);
+        self.send_to_vms(&ReplicaBody::Stranded);
+    }
+
     /// Whether this replica's group can no longer reach a quorum.
     ///
     /// Only state in memory is ever given up. A replica that is no voter has nothing
--- a/lib/src/replica_message.rs
+++ b/lib/src/replica_message.rs
@@ -37,12 +37,16 @@
 pub enum ReplicaBody {
     /// The sender has no group and looks for one.
     Seek,
+    /// The sender belongs to a generation whose leader it has not heard for long.
+    Stranded,
     /// The sender wants to found a generation.
     PledgeAsk(GenerationId),
     /// The sender will join that generation and no other; its clock.
     PledgeGive(GenerationId, ClockTime),
     /// The sender asks for a vote; its last index and term.
     VoteAsk(VotePhase, u64, u64),
+    /// The leader hands over: the receiver should stand for election at once.
+    TakeOver,
     /// The answer to a request for a vote.
     VoteGive(VotePhase, VoteAnswer),
     /// Entries that follow an index and term, and the commit index.
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -34,22 +34,13 @@
     All,
 }
 
-/// Whether a replica may lead.
-#[derive(Data!, Copy)]
-pub enum LeaderRule {
-    /// The replica stands for election.
-    MayLead,
-    /// The replica only votes and stores.
-    Witness,
-}
-
 /// What a replica needs to know of its group.
 #[derive(Data!)]
 pub struct ReplicaSettings {
     /// VMs of the group, one replica each.
     pub vms: Vec<VmName>,
-    /// Whether this replica may lead.
-    pub leader_rule: LeaderRule,
+    /// VM that stores and votes and leads only when no other can, if there is one.
+    pub witness: Option<VmName>,
     /// VMs needed for a founding.
     pub founding_rule: FoundingRule,
     /// Shortest silence of a leader before an election, in ms.
@@ -115,6 +106,7 @@
     pub(crate) election_at: ClockTime,
     pub(crate) heartbeat_at: ClockTime,
     pub(crate) role_since: ClockTime,
+    pub(crate) handing_over: bool,
     pub(crate) votes: IndexSet<ReplicaId>,
     pub(crate) pledges: IndexMap<ReplicaId, ClockTime>,
     pub(crate) progress: IndexMap<ReplicaId, PeerProgress>,
@@ -170,6 +162,7 @@
             election_at: now,
             heartbeat_at: now,
             role_since: now,
+            handing_over: false,
             votes: IndexSet::new(),
             pledges: IndexMap::new(),
             progress: IndexMap::new(),
@@ -257,6 +250,11 @@
         Ok(self.append_own(EntryPayload::Command(command)))
     }
 
+    /// Hands the lead to a replica that has caught up, now and whenever it would lead.
+    pub fn hand_over(&mut self) {
+        self.handing_over = true;
+    }
+
     /// Puts `state` in place of the entries applied so far.
     pub fn compact(&mut self, state: Vec<u8>) {
         if self.applied <= self.log.snapshot().index {
@@ -289,6 +287,7 @@
         }
         match message.body {
             ReplicaBody::Seek => self.on_seek(message.from, now),
+            ReplicaBody::Stranded => self.answer_older_generation(&message),
             ReplicaBody::PledgeAsk(generation) => self.on_pledge_ask(message.from, generation, now),
             ReplicaBody::PledgeGive(generation, clock) => {
                 self.on_pledge_give(message.from, generation, clock, now);
@@ -309,6 +308,7 @@
             ReplicaBody::VoteAsk(phase, last_index, last_term) => {
                 self.on_vote_ask(from, term, phase, (last_term, last_index), now);
             }
+            ReplicaBody::TakeOver => self.on_take_over(&from, term, now),
             ReplicaBody::VoteGive(phase, answer) => {
                 self.on_vote_give(from, term, phase, answer, now);
             }
@@ -317,7 +317,10 @@
             }
             ReplicaBody::AppendAck(answer) => self.on_append_ack(from, term, answer, now),
             ReplicaBody::Install(snapshot) => self.on_install(from, term, snapshot, now),
-            ReplicaBody::Seek | ReplicaBody::PledgeAsk(_) | ReplicaBody::PledgeGive(..) => {}
+            ReplicaBody::Seek
+            | ReplicaBody::Stranded
+            | ReplicaBody::PledgeAsk(_)
+            | ReplicaBody::PledgeGive(..) => {}
         }
     }
 
--- a/lib/src/replica_replication.rs
+++ b/lib/src/replica_replication.rs
@@ -28,6 +28,7 @@
             for idx in 0..self.progress.len() {
                 self.send_next(idx, now);
             }
+            self.hand_over_lead();
         }
         self.admit_replicas(now);
     }
--- a/lib/src/slot_leases.rs
+++ b/lib/src/slot_leases.rs
@@ -32,24 +32,36 @@
     Return(Vec<(EndpointName, u32)>),
 }
 
+/// Time after which a borrower no longer uses a loan, in ms.
+const BORROW_MS: u64 = 5_000;
+/// Time after which a lender uses its slots again, in ms; the longer one.
+const LEND_MS: u64 = 7_000;
+
+/// Slots lent or borrowed, and until when.
+#[derive(Clone, Debug)]
+struct SlotLoan {
+    n_slots: u32,
+    until: ClockTime,
+}
+
 /// This entry's slots on one endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct SlotLease {
     share: u32,
-    lent: IndexMap<VmName, u32>,
-    borrowed: IndexMap<VmName, u32>,
+    lent: IndexMap<VmName, SlotLoan>,
+    borrowed: IndexMap<VmName, SlotLoan>,
 }
 
 impl SlotLease {
     /// Slots that this entry may use now.
     pub fn capacity(&self) -> u32 {
-        let lent: u32 = self.lent.values().sum();
-        (self.share + self.n_borrowed()).saturating_sub(lent)
+        let n_lent: u32 = self.lent.values().map(|it| it.n_slots).sum();
+        (self.share + self.n_borrowed()).saturating_sub(n_lent)
     }
 
     /// Slots borrowed from others.
     pub fn n_borrowed(&self) -> u32 {
-        self.borrowed.values().sum()
+        self.borrowed.values().map(|it| it.n_slots).sum()
     }
 
     /// Sets the share, and ends loans with VMs for which `is_member` says no.
@@ -59,47 +71,59 @@
         self.borrowed.retain(|vm, _| is_member(vm));
     }
 
+    /// Ends loans whose time is over: a return may have been lost.
+    pub fn expire(&mut self, now: ClockTime) {
+        self.lent.retain(|_, it| now < it.until);
+        self.borrowed.retain(|_, it| now < it.until);
+    }
+
     /// Lends up to `n_slots` of the `n_free` free ones, keeping a quarter of the share.
-    pub fn lend(&mut self, to: &VmName, n_slots: u32, n_free: u32) -> u32 {
+    pub fn lend(&mut self, to: &VmName, n_slots: u32, n_free: u32, now: ClockTime) -> u32 {
         let reserve = self.share / 4;
         let n_lent = n_slots.min(n_free.saturating_sub(reserve));
         if 0 < n_lent {
-            *self.lent.entry(to.clone()).or_default() += n_lent;
+            add_loan(&mut self.lent, to, n_lent, now.plus_ms(LEND_MS));
         }
         n_lent
     }
 
     /// Takes slots lent by another.
-    pub fn borrow(&mut self, from: &VmName, n_slots: u32) {
-        *self.borrowed.entry(from.clone()).or_default() += n_slots;
+    pub fn borrow(&mut self, from: &VmName, n_slots: u32, now: ClockTime) {
+        add_loan(&mut self.borrowed, from, n_slots, now.plus_ms(BORROW_MS));
     }
 
     /// Takes back slots that another returns.
     pub fn take_back(&mut self, from: &VmName, n_slots: u32) {
-        if let Some(n_lent) = self.lent.get_mut(from) {
-            *n_lent = n_lent.saturating_sub(n_slots);
+        if let Some(loan) = self.lent.get_mut(from) {
+            loan.n_slots = loan.n_slots.saturating_sub(n_slots);
         }
-        self.lent.retain(|_, n_lent| 0 < *n_lent);
+        self.lent.retain(|_, it| 0 < it.n_slots);
     }
 
     /// Gives up to `n_free` borrowed slots back, those of `lender` only if it is given.
     pub fn give_back(&mut self, n_free: u32, lender: Option<&VmName>) -> Vec<(VmName, u32)> {
         let mut n_left = n_free;
         let mut returned = Vec::new();
-        for (vm, n_borrowed) in &mut self.borrowed {
-            let n_returned = n_left.min(*n_borrowed);
+        for (vm, loan) in &mut self.borrowed {
+            let n_returned = n_left.min(loan.n_slots);
             if n_returned == 0 || lender.is_some_and(|it| it != vm) {
                 continue;
             }
-            *n_borrowed -= n_returned;
+            loan.n_slots -= n_returned;
             n_left -= n_returned;
             returned.push((vm.clone(), n_returned));
         }
-        self.borrowed.retain(|_, n_borrowed| 0 < *n_borrowed);
+        self.borrowed.retain(|_, it| 0 < it.n_slots);
         returned
     }
 }
 
+fn add_loan(loans: &mut IndexMap<VmName, SlotLoan>, vm: &VmName, n_slots: u32, until: ClockTime) {
+    let loan = loans.entry(vm.clone()).or_insert(SlotLoan { n_slots: 0, until });
+    loan.n_slots += n_slots;
+    loan.until = until;
+}
+
 /// The share of an endpoint's slots that falls to `own` among `members`.
 ///
 /// What does not divide evenly goes to the members with the highest weight for the
--- a/lib/src/vm_layout.rs
+++ b/lib/src/vm_layout.rs
@@ -110,15 +110,15 @@
     /// witness in the next data centre.
     pub fn ledger_vms(&self, centre: &DataCentre) -> Vec<VmName> {
         let mut vms = self.entries_in(centre);
-        if vms.len().is_multiple_of(2)
-            && let Some(witness) = self.ledger_witness(centre)
-        {
-            vms.push(witness);
-        }
+        vms.extend(self.ledger_witness(centre));
         vms
     }
 
-    fn ledger_witness(&self, centre: &DataCentre) -> Option<VmName> {
+    /// VM in the next data centre that completes an even number of entries.
+    pub fn ledger_witness(&self, centre: &DataCentre) -> Option<VmName> {
+        if !self.entries_in(centre).len().is_multiple_of(2) {
+            return None;
+        }
         let centres = self.centres();
         let idx = centres.iter().position(|it| it == centre)?;
         let next = &centres[(idx + 1) % centres.len()];
--- /dev/null
+++ b/testutils/src/lib.rs
@@ -0,0 +1,13 @@
+//! Fakes for randomised runs over the decisions of yuccamux, in virtual time.
+//!
+//! A [`message_bag`] delays, drops, repeats and reorders messages and cuts links. The
+//! [`system_world`] puts entries, control VMs, endpoints and callers around it, breaks
+//! them at random, and checks what must always hold.
+
+pub mod fake_control;
+pub mod fake_endpoint;
+pub mod fake_entry;
+pub mod fault_plan;
+pub mod message_bag;
+pub mod system_world;
+pub mod world_record;
