lib: give up jobs of the leader's own earlier life; members of a newer generation count

Ruled out: lost settles and late copies of claims, by a trace of every command on the key. Change: lives of the own VM are compared by number; a member without a leader that hears a member of a newer generation starts anew.

--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -448,7 +448,7 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: ClockTime) {
         for ledger in self.ledgers.values_mut() {
-            ledger.tick(&self.peers, &self.settings.owner.vm, now);
+            ledger.tick(&self.peers, &self.settings.owner, now);
         }
         self.carry_out(now);
         self.note_foundings(now);
--- a/lib/src/job_submission.rs
+++ b/lib/src/job_submission.rs
@@ -10,8 +10,9 @@
     prelude::*,
 };
 
-/// Time that recording an outcome may take, in ms.
-const SETTLE_MS: u64 = 30_000;
+/// Time that recording an outcome may take, in ms. A claim that is not settled keeps its
+/// key for as long as its owner lives, so this is long.
+const SETTLE_MS: u64 = 600_000;
 
 /// Who chose a key.
 #[derive(Data!, Copy)]
@@ -104,7 +105,12 @@
         }
     }
 
-    fn on_probe_end(&mut self, end: CallEnd, error: RequestError, now: ClockTime) -> SubmissionStep {
+    fn on_probe_end(
+        &mut self,
+        end: CallEnd,
+        error: RequestError,
+        now: ClockTime,
+    ) -> SubmissionStep {
         match end {
             CallEnd::Answered(LedgerAnswer::Unclaimed) => self.answer(Err(error)),
             CallEnd::Answered(LedgerAnswer::Refused(known)) => self.answer(Err(known)),
--- a/lib/src/ledger_group.rs
+++ b/lib/src/ledger_group.rs
@@ -3,7 +3,9 @@
 use indexmap::IndexMap;
 
 use crate::{
-    job_ledger::{JobLedger, JobOutcome, JobState, LedgerCommand, LedgerEntry, LedgerLimits},
+    job_ledger::{
+        JobLedger, JobOutcome, JobState, LedgerCommand, LedgerEntry, LedgerLimits, OwnerId,
+    },
     log_group::{GroupEffect, LogGroup, ProposalAnswer, ProposalWaiter, StateFunctions},
     peer_table::PeerTable,
     prelude::*,
@@ -83,21 +85,25 @@
     }
 
     /// Lets time pass.
-    pub fn tick(&mut self, peers: &PeerTable, own_vm: &VmName, now: ClockTime) {
+    pub fn tick(&mut self, peers: &PeerTable, own: &OwnerId, now: ClockTime) {
         self.group.tick(now);
         self.carry_out(now);
         let is_due = OWNER_CHECK_MS <= now.since_ms(self.owners_checked_at);
         if is_due && self.node().is_settled_leader() {
             self.owners_checked_at = now;
-            self.give_up_owners(peers, own_vm, now);
+            self.give_up_owners(peers, own, now);
         }
     }
 
-    fn give_up_owners(&mut self, peers: &PeerTable, own_vm: &VmName, now: ClockTime) {
+    fn give_up_owners(&mut self, peers: &PeerTable, own: &OwnerId, now: ClockTime) {
         for owner in self.ledger().running_owners() {
-            let is_self = owner.vm == *own_vm;
-            if !is_self && peers.is_lost(&owner, self.led_since, now) {
-                let waiter = ProposalWaiter { vm: own_vm.clone(), request: 0 };
+            let is_lost = if owner.vm == own.vm {
+                owner.incarnation < own.incarnation
+            } else {
+                peers.is_lost(&owner, self.led_since, now)
+            };
+            if is_lost {
+                let waiter = ProposalWaiter { vm: own.vm.clone(), request: 0 };
                 self.propose(waiter, LedgerCommand::OwnerLost(owner), now);
             }
         }
--- a/lib/src/replica_election.rs
+++ b/lib/src/replica_election.rs
@@ -31,8 +31,7 @@
     /// A witness stands when the others had time for an election of their own: it may
     /// hold entries that none of them has.
     fn may_stand(&self, now: ClockTime) -> bool {
-        let is_reluctant =
-            self.is_witness_vm(&self.hard.id.vm) || self.handing_over;
+        let is_reluctant = self.is_witness_vm(&self.hard.id.vm) || self.handing_over;
         let silent_ms = now.since_ms(self.heard_at);
         let had_time = self.settings.election_ms * WITNESS_ELECTIONS <= silent_ms;
         self.voters().contains(&self.hard.id) && (!is_reluctant || had_time)
--- a/lib/src/replica_founding.rs
+++ b/lib/src/replica_founding.rs
@@ -17,9 +17,7 @@
     prelude::*,
     replica_log::LogSnapshot,
     replica_message::{ReplicaBody, ReplicaMessage},
-    replica_node::{
-        FoundingRule, FreshSighting, PeerProgress, ReplicaNode, ReplicaRole,
-    },
+    replica_node::{FoundingRule, FreshSighting, PeerProgress, ReplicaNode, ReplicaRole},
 };
 
 /// Time for which a replica looks for a group before it founds one, in election times.
@@ -257,6 +255,20 @@
         self.send_to_vms(&ReplicaBody::Stranded);
     }
 
+    /// Hears of a member of another generation that has no leader.
+    ///
+    /// That a newer generation has a member shows that it was founded, so this one can
+    /// commit nothing more.
+    pub(crate) fn on_stranded(&mut self, message: &ReplicaMessage, now: ClockTime) {
+        self.answer_older_generation(message);
+        let is_newer = self.hard.generation.is_some() && self.hard.generation < message.generation;
+        let has_lost_leader = self.role != ReplicaRole::Leader
+            && self.settings.election_ms * GIVE_UP_ELECTIONS <= now.since_ms(self.heard_at);
+        if is_newer && has_lost_leader && self.settings.founding_rule == FoundingRule::Majority {
+            self.begin_new_life(now);
+        }
+    }
+
     /// Whether this replica's group can no longer reach a quorum.
     ///
     /// Only state in memory is ever given up. A replica that is no voter has nothing
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -287,7 +287,7 @@
         }
         match message.body {
             ReplicaBody::Seek => self.on_seek(message.from, now),
-            ReplicaBody::Stranded => self.answer_older_generation(&message),
+            ReplicaBody::Stranded => self.on_stranded(&message, now),
             ReplicaBody::PledgeAsk(generation) => self.on_pledge_ask(message.from, generation, now),
             ReplicaBody::PledgeGive(generation, clock) => {
                 self.on_pledge_give(message.from, generation, clock, now);
--- a/testutils/src/fake_control.rs
+++ b/testutils/src/fake_control.rs
@@ -32,7 +32,9 @@
         for effect in effects {
             match effect {
                 StoreEffect::SaveState(hard) => self.hard = Some(hard),
-                StoreEffect::Append(entries) => entries.into_iter().for_each(|it| self.log.push(it)),
+                StoreEffect::Append(entries) => {
+                    entries.into_iter().for_each(|it| self.log.push(it))
+                }
                 StoreEffect::TruncateFrom(index) => self.log.truncate_from(index),
                 StoreEffect::SaveSnapshot(snapshot) => self.log.install(snapshot),
                 StoreEffect::Reset(hard) => {
