--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -20,7 +20,7 @@
     control_thread,
     link_key::LinkKeys,
     log_store::LogStore,
-    peer_link::{PeerInput, PeerLink},
+    peer_link::{LinkSockets, PeerInput, PeerLink},
     wall_clock::WallClock,
 };
 
@@ -119,11 +119,12 @@
 ///
 /// # Errors
 ///
-/// When the data folder cannot be opened or the VM's address cannot be bound.
+/// When the data folder cannot be opened or the sockets cannot be used.
 pub fn start(
     settings: ControlSettings,
     data_folder: PathBuf,
     keys: LinkKeys,
+    sockets: LinkSockets,
     clock: WallClock,
 ) -> anyhow::Result<ServiceHandle> {
     let own = settings.owner.vm.clone();
@@ -135,8 +136,8 @@
     let (peer_sender, peer_inputs) = mpsc::unbounded_channel();
     let (inbox, inputs) = mpsc::unbounded_channel();
     let layout = settings.layout.clone();
-    let linking = async move { PeerLink::start(&layout, &own, keys, peer_sender).await };
-    let starting = control_thread::start(linking, move |link| {
+    let link = move || PeerLink::start(&layout, &own, keys, sockets, peer_sender);
+    let link = control_thread::start(link, move |link| {
         let host = ServiceHost {
             vm: settings.owner.vm.clone(),
             node: ControlNode::new(settings, stored, clock.now()),
@@ -153,8 +154,7 @@
                 std::process::abort();
             }
         }
-    });
-    let link = starting?;
+    })?;
     #[cfg(not(feature = "fault-injection"))]
     drop(link);
     Ok(ServiceHandle {
--- a/adapters/src/control_thread.rs
+++ b/adapters/src/control_thread.rs
@@ -7,14 +7,14 @@
 
 use crate::peer_link::PeerLink;
 
-/// Starts the thread: `linking` binds the VM's address there, and what `run` makes of
-/// the link then runs until it ends.
+/// Starts the thread: `link` makes the link on its runtime, and what `run` makes of the
+/// link then runs until it ends.
 ///
 /// # Errors
 ///
-/// When the thread cannot be made or the address cannot be bound.
+/// When the thread cannot be made or `link` fails.
 pub(crate) fn start<F>(
-    linking: impl Future<Output = anyhow::Result<PeerLink>> + Send + 'static,
+    link: impl FnOnce() -> anyhow::Result<PeerLink> + Send + 'static,
     run: impl FnOnce(PeerLink) -> F + Send + 'static,
 ) -> anyhow::Result<PeerLink>
 where
@@ -24,7 +24,7 @@
     let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         runtime.block_on(async move {
-            let linked = linking.await;
+            let linked = link();
             let link = linked.as_ref().ok().cloned();
             // The starter waits for this one message.
             let _ = sender.send(linked);
--- a/adapters/src/entry_control.rs
+++ b/adapters/src/entry_control.rs
@@ -25,7 +25,7 @@
 use crate::{
     control_thread,
     link_key::LinkKeys,
-    peer_link::{PeerInput, PeerLink},
+    peer_link::{LinkSockets, PeerInput, PeerLink},
     wall_clock::WallClock,
 };
 
@@ -169,10 +169,11 @@
 ///
 /// # Errors
 ///
-/// When the VM's address cannot be bound.
+/// When the thread cannot be made or the sockets cannot be used.
 pub fn start(
     settings: EntrySettings,
     keys: LinkKeys,
+    sockets: LinkSockets,
     clock: WallClock,
     traffic: mpsc::UnboundedSender<TrafficInput>,
 ) -> anyhow::Result<ControlHandle> {
@@ -182,8 +183,8 @@
     let (peer_sender, peer_inputs) = mpsc::unbounded_channel();
     let own = settings.owner.vm.clone();
     let layout = settings.layout.clone();
-    let linking = async move { PeerLink::start(&layout, &own, keys, peer_sender).await };
-    let starting = control_thread::start(linking, move |link| {
+    let link = move || PeerLink::start(&layout, &own, keys, sockets, peer_sender);
+    let link = control_thread::start(link, move |link| {
         let host = ControlHost {
             vm: settings.owner.vm.clone(),
             node: EntryNode::new(settings, clock.now()),
@@ -199,8 +200,7 @@
             n_overhead: 0,
         };
         host.run(inputs, peer_inputs)
-    });
-    let link = starting?;
+    })?;
     #[cfg(not(feature = "fault-injection"))]
     drop(link);
     Ok(ControlHandle {
--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -5,7 +5,11 @@
 //! lives; a broken connection loses what was on its way, which every protocol above
 //! tolerates. Frames are postcard with a length and a keyed hash.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{self, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use anyhow::Context;
 use bytes::Bytes;
@@ -56,6 +60,50 @@
     pub to: Arc<std::sync::Mutex<indexmap::IndexSet<VmName>>>,
 }
 
+/// A VM's bound sockets.
+#[derive(Debug)]
+pub struct LinkSockets {
+    listener: net::TcpListener,
+    socket: net::UdpSocket,
+}
+
+impl LinkSockets {
+    /// Binds TCP and UDP on an address; port 0 takes one that is free for both.
+    ///
+    /// # Errors
+    ///
+    /// When the address is not of this machine or in use.
+    pub fn bind(address: SocketAddr) -> anyhow::Result<LinkSockets> {
+        loop {
+            let listener = net::TcpListener::bind(address)
+                .with_context(|| format!("could not listen on {address}, from --vms"))?;
+            let bound = listener.local_addr()?;
+            match net::UdpSocket::bind(bound) {
+                Ok(socket) => {
+                    listener.set_nonblocking(true)?;
+                    socket.set_nonblocking(true)?;
+                    return Ok(LinkSockets { listener, socket });
+                }
+                // The system chose a port whose UDP side is taken.
+                Err(_) if address.port() == 0 => {}
+                Err(error) => {
+                    return Err(error)
+                        .with_context(|| format!("could not bind UDP {address}, from --vms"));
+                }
+            }
+        }
+    }
+
+    /// The address that was bound.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell.
+    pub fn address(&self) -> anyhow::Result<SocketAddr> {
+        Ok(self.listener.local_addr()?)
+    }
+}
+
 /// The sending side.
 #[derive(Clone)]
 pub struct PeerLink {
@@ -72,11 +120,16 @@
 }
 
 impl PeerLink {
-    /// Binds the address of VM `own` and starts to send and receive.
-    pub async fn start(
+    /// Starts to send and receive as VM `own`, on the runtime of the caller.
+    ///
+    /// # Errors
+    ///
+    /// When an address of the layout is malformed or the sockets cannot be used.
+    pub fn start(
         layout: &VmLayout,
         own: &VmName,
         keys: LinkKeys,
+        sockets: LinkSockets,
         inbox: mpsc::UnboundedSender<PeerInput>,
     ) -> anyhow::Result<PeerLink> {
         let mut addresses = IndexMap::new();
@@ -84,14 +137,8 @@
             let address: SocketAddr = vm.address.parse().context("a VM's address is IP:PORT")?;
             addresses.insert(vm.name.clone(), address);
         }
-        let own_address = *addresses.get(own).context("--vms does not name this VM")?;
-        let listener = TcpListener::bind(own_address)
-            .await
-            .with_context(|| format!("could not listen on {own_address}, from --vms"))?;
-        let socket = UdpSocket::bind(own_address)
-            .await
-            .with_context(|| format!("could not bind UDP {own_address}, from --vms"))?;
-        let socket = Arc::new(socket);
+        let listener = TcpListener::from_std(sockets.listener)?;
+        let socket = Arc::new(UdpSocket::from_std(sockets.socket)?);
         let keys = Arc::new(keys);
         let mut senders = IndexMap::new();
         for (vm, address) in &addresses {
--- a/adapters/src/process_setup.rs
+++ b/adapters/src/process_setup.rs
@@ -12,7 +12,7 @@
     vm_layout::{VmLayout, VmRole, VmSpec},
 };
 
-use crate::{bearer_guard::BearerGuard, link_key::LinkKeys};
+use crate::{bearer_guard::BearerGuard, link_key::LinkKeys, peer_link::LinkSockets};
 
 /// Reads `--vms` and checks that it names this VM with its role.
 ///
@@ -75,6 +75,16 @@
     Ok(())
 }
 
+/// Binds a VM's address for the system's own processes.
+///
+/// # Errors
+///
+/// When the layout does not name the VM, or its address cannot be bound.
+pub fn bind_links(layout: &VmLayout, own: &VmName) -> anyhow::Result<LinkSockets> {
+    let spec = layout.vm(own).context("--vms does not name this VM")?;
+    LinkSockets::bind(spec.address.parse()?)
+}
+
 /// Binds the HTTP address.
 ///
 /// # Errors
--- /dev/null
+++ b/adapters/tests/test_log_store.rs
@@ -0,0 +1,122 @@
+//! The control replica's disk: what a restart finds after crashes and damage.
+
+use std::fs;
+
+use indexmap::IndexSet;
+use tempfile::TempDir;
+use yuccamux::{
+    prelude::*,
+    replica_effect::{HardState, StoreEffect},
+    replica_log::{EntryPayload, LogEntry, LogSnapshot},
+};
+use yuccamux_adapters::log_store::LogStore;
+
+fn hard(term: u64) -> HardState {
+    let id = ReplicaId { vm: VmName::from("control-1"), incarnation: 7 };
+    HardState { id, generation: Some(GenerationId(1)), pledged: None, term, vote: None }
+}
+
+fn entry(index: u64) -> LogEntry {
+    LogEntry { index, term: 1, payload: EntryPayload::Command(vec![index as u8; 40]) }
+}
+
+fn open(folder: &TempDir) -> anyhow::Result<LogStore> {
+    LogStore::open(folder.path(), &VmName::from("control-1"))
+}
+
+/// A folder with a state and `n_entries` entries, each synced on its own.
+fn filled(n_entries: u64) -> TempDir {
+    let folder = TempDir::new().unwrap();
+    let mut store = open(&folder).unwrap();
+    store.commit(vec![StoreEffect::SaveState(hard(1))]).unwrap();
+    for index in 1..=n_entries {
+        store.commit(vec![StoreEffect::Append(vec![entry(index)])]).unwrap();
+    }
+    folder
+}
+
+fn last_index(folder: &TempDir) -> u64 {
+    let store = open(folder).unwrap();
+    store.stored().unwrap().1.last_index()
+}
+
+#[test]
+fn restart_finds_what_was_synced() {
+    let folder = filled(5);
+    let store = open(&folder).unwrap();
+    let (found, log) = store.stored().unwrap();
+    assert_eq!(found, hard(1));
+    assert_eq!(log.entry_at(3), Some(&entry(3)));
+}
+
+#[test]
+fn truncation_and_snapshot_survive_a_restart() {
+    let folder = filled(5);
+    {
+        let mut store = open(&folder).unwrap();
+        let snapshot = LogSnapshot {
+            index: 2,
+            term: 1,
+            voters: IndexSet::new(),
+            fence: ClockTime(9),
+            state: vec![1, 2, 3],
+        };
+        store
+            .commit(vec![
+                StoreEffect::TruncateFrom(4),
+                StoreEffect::SaveSnapshot(snapshot),
+                StoreEffect::SaveState(hard(2)),
+            ])
+            .unwrap();
+    }
+    let store = open(&folder).unwrap();
+    let (found, log) = store.stored().unwrap();
+    assert_eq!(found.term, 2);
+    assert_eq!((log.snapshot().index, log.last_index()), (2, 3));
+    assert_eq!(log.snapshot().fence, ClockTime(9));
+}
+
+#[test]
+fn torn_tail_is_cut_off() {
+    let folder = filled(5);
+    let path = folder.path().join("replica.log");
+    let whole = fs::read(&path).unwrap();
+    for n_cut in 1..40 {
+        fs::write(&path, &whole[..whole.len() - n_cut]).unwrap();
+        assert_eq!(last_index(&folder), 4, "{n_cut} bytes cut");
+        fs::write(&path, &whole).unwrap();
+    }
+    let mut garbled = whole.clone();
+    *garbled.last_mut().unwrap() ^= 1;
+    fs::write(&path, garbled).unwrap();
+    assert_eq!(last_index(&folder), 4);
+    // What is appended after the cut is found again.
+    let mut store = open(&folder).unwrap();
+    store.commit(vec![StoreEffect::Append(vec![entry(5)])]).unwrap();
+    drop(store);
+    assert_eq!(last_index(&folder), 5);
+}
+
+#[test]
+fn damage_before_the_last_frame_is_refused() {
+    let folder = filled(5);
+    let path = folder.path().join("replica.log");
+    let mut bytes = fs::read(&path).unwrap();
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    fs::write(&path, bytes).unwrap();
+    let error = format!("{:#}", open(&folder).err().unwrap());
+    assert!(error.contains("is damaged and others follow"), "{error}");
+}
+
+#[test]
+fn folder_is_locked_and_keeps_its_owner() {
+    let folder = filled(1);
+    let first = open(&folder).unwrap();
+    let error = format!("{:#}", open(&folder).err().unwrap());
+    assert!(error.contains("is in use by another process"), "{error}");
+    drop(first);
+    let other = LogStore::open(folder.path(), &VmName::from("control-2"));
+    let error = format!("{:#}", other.err().unwrap());
+    assert!(error.contains("belongs to VM control-1, not to control-2"), "{error}");
+}
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -94,6 +94,7 @@
     }
     log_lines::start(args.log_form)?;
     info!("starts as {vm}: {args:?}");
+    let sockets = process_setup::bind_links(&layout, &vm)?;
     let clock = WallClock::new();
     let settings = ControlSettings {
         owner: OwnerId { vm, incarnation: clock.started_at().0 },
@@ -102,7 +103,7 @@
         heartbeat_ms: args.heartbeat_ms,
         seed: rand::random(),
     };
-    let service = control_service::start(settings, args.data_folder, keys, clock)
+    let service = control_service::start(settings, args.data_folder, keys, sockets, clock)
         .context("could not start the configuration log")?;
     let limits = ServerLimits::default();
     let http = ControlHttp { service, limits, operators };
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -200,6 +200,7 @@
     }
     log_lines::start(args.log_form)?;
     info!("starts as {vm} in {centre}: {args:?}");
+    let sockets = process_setup::bind_links(&layout, &vm)?;
     let clock = WallClock::new();
     let owner = OwnerId { vm: vm.clone(), incarnation: clock.started_at().0 };
     let seed = rand::random();
@@ -217,7 +218,7 @@
         seed,
     };
     let (traffic_sender, traffic_inputs) = mpsc::unbounded_channel();
-    let control = entry_control::start(settings, keys, clock, traffic_sender)?;
+    let control = entry_control::start(settings, keys, sockets, clock, traffic_sender)?;
     let policy = PolicySettings {
         placement: args.placement,
         leases: args.leases,
--- a/lib/src/workspace_template.rs
+++ b/lib/src/workspace_template.rs
@@ -115,6 +115,16 @@
     }
 }
 
+/// A file as published.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FileText {
+    #[serde(default, rename = "template")]
+    _templates: IndexMap<String, TemplateText>,
+    #[serde(default, rename = "workspace")]
+    _workspaces: IndexMap<String, WorkspaceText>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct TemplateText {
@@ -157,17 +167,12 @@
 ///
 /// `InvalidChange` with line and column where the file is not of that form.
 pub fn split_documents(text: &str) -> Result<Vec<(String, String)>, RequestError> {
+    // Read whole first, so that an error names its line in the file.
+    toml::from_str::<FileText>(text).map_err(|error| toml_error(text, "file", &error))?;
     let table: Table = text.parse().map_err(|error| toml_error(text, "file", &error))?;
     let mut documents = Vec::new();
     for (section, value) in table {
-        if section != "template" && section != "workspace" {
-            return Err(invalid(format!(
-                "unknown section [{section}]; a file has [template.NAME] and [workspace.NAME]"
-            )));
-        }
-        let Value::Table(entries) = value else {
-            return Err(invalid(format!("{section} must be a table of named entries")));
-        };
+        let entries = value.as_table().cloned().unwrap_or_default();
         for (name, entry) in entries {
             check_name(&name)?;
             let text = toml::to_string(&entry)
--- /dev/null
+++ b/lib/tests/test_replica_log.rs
@@ -0,0 +1,306 @@
+//! Randomised runs of one replicated log under loss, cuts, crashes and lost state.
+
+use std::collections::BTreeMap;
+
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use yuccamux::{
+    prelude::*,
+    replica_effect::{HardState, ReplicaEffect, StoreEffect},
+    replica_log::ReplicaLog,
+    replica_message::ReplicaMessage,
+    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings},
+};
+
+const STEP_MS: u64 = 10;
+const ELECTION_MS: u64 = 200;
+
+/// Something that happens to the group.
+#[derive(Clone, Debug)]
+enum Op {
+    /// Time passes, and messages whose number is a multiple of `drop_every` are lost.
+    Run { steps: u64, drop_every: u64 },
+    /// A command is proposed wherever there is a leader.
+    Propose,
+    /// A replica's process dies before its next sync and comes back on its disk.
+    Crash(usize),
+    /// A replica's process dies and comes back without its disk.
+    LoseDisk(usize),
+    /// Messages to and from a replica are lost until the next heal.
+    Cut(usize),
+    /// All links are whole again.
+    Heal,
+    /// The leader compacts its log.
+    Compact,
+}
+
+#[derive(Default, Clone)]
+struct Disk {
+    hard: Option<HardState>,
+    log: ReplicaLog,
+}
+
+struct Group {
+    rule: FoundingRule,
+    now: ClockTime,
+    nodes: Vec<ReplicaNode>,
+    disks: Vec<Disk>,
+    cut: Vec<bool>,
+    waiting: BTreeMap<(ClockTime, u64), (usize, ReplicaMessage)>,
+    n_sent: u64,
+    drop_every: u64,
+    next_command: u64,
+    /// Commands by generation and index, as first applied anywhere.
+    applied: IndexMap<(GenerationId, u64), Vec<u8>>,
+    n_applied: usize,
+}
+
+fn vm(idx: usize) -> VmName {
+    VmName(format!("vm-{idx}"))
+}
+
+fn settings(n_vms: usize, rule: FoundingRule, seed: u64) -> ReplicaSettings {
+    ReplicaSettings {
+        vms: (0..n_vms).map(vm).collect(),
+        witness: None,
+        founding_rule: rule,
+        election_ms: ELECTION_MS,
+        heartbeat_ms: 50,
+        clock_skew_ms: 10,
+        seed,
+    }
+}
+
+impl Group {
+    fn new(n_vms: usize, rule: FoundingRule) -> Group {
+        let now = ClockTime(1_000_000);
+        let mut group = Group {
+            rule,
+            now,
+            nodes: Vec::new(),
+            disks: vec![Disk::default(); n_vms],
+            cut: vec![false; n_vms],
+            waiting: BTreeMap::new(),
+            n_sent: 0,
+            drop_every: u64::MAX,
+            next_command: 0,
+            applied: IndexMap::new(),
+            n_applied: 0,
+        };
+        for idx in 0..n_vms {
+            let node = group.fresh_node(idx);
+            group.nodes.push(node);
+        }
+        group
+    }
+
+    fn fresh_node(&self, idx: usize) -> ReplicaNode {
+        let id = ReplicaId { vm: vm(idx), incarnation: self.now.0 };
+        ReplicaNode::new_fresh(settings(self.disks.len(), self.rule, idx as u64), id, self.now)
+    }
+
+    fn restart(&mut self, idx: usize) {
+        let settings = settings(self.disks.len(), self.rule, idx as u64);
+        let disk = self.disks[idx].clone();
+        self.nodes[idx] = match disk.hard {
+            Some(hard) => ReplicaNode::from_stored(settings, hard, disk.log, self.now),
+            None => self.fresh_node(idx),
+        };
+    }
+
+    fn take(&mut self, op: &Op) {
+        let n_vms = self.nodes.len();
+        match op {
+            Op::Run { steps, drop_every } => {
+                self.drop_every = *drop_every;
+                (0..*steps).for_each(|_| self.step());
+            }
+            Op::Propose => self.propose(),
+            Op::Crash(idx) => self.restart(idx % n_vms),
+            Op::LoseDisk(idx) => self.lose_disk(idx % n_vms),
+            Op::Cut(idx) => self.cut[idx % n_vms] = true,
+            Op::Heal => self.cut.fill(false),
+            Op::Compact => {
+                for idx in 0..n_vms {
+                    if self.nodes[idx].role() == ReplicaRole::Leader {
+                        self.nodes[idx].compact(vec![1]);
+                        self.carry_out(idx);
+                    }
+                }
+            }
+        }
+    }
+
+    fn propose(&mut self) {
+        for idx in 0..self.nodes.len() {
+            if self.nodes[idx].role() == ReplicaRole::Leader {
+                self.next_command += 1;
+                let command = self.next_command.to_be_bytes().to_vec();
+                self.nodes[idx].propose(command).unwrap();
+                self.nodes[idx].flush(self.now);
+                self.carry_out(idx);
+            }
+        }
+    }
+
+    /// Disks may be lost one at a time, each only once the former is made good.
+    fn lose_disk(&mut self, idx: usize) {
+        let is_whole = self.nodes.iter().all(|lhs| {
+            // The voters that this replica knows are the lives that run now.
+            self.nodes.iter().all(|rhs| lhs.voters().contains(rhs.id()))
+        });
+        let is_settled = self.nodes.iter().any(ReplicaNode::is_settled_leader);
+        if self.rule == FoundingRule::All && !(is_whole && is_settled) {
+            return;
+        }
+        self.disks[idx] = Disk::default();
+        self.restart(idx);
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.plus_ms(STEP_MS);
+        while let Some(entry) = self.waiting.first_entry() {
+            if self.now < entry.key().0 {
+                break;
+            }
+            let (idx, message) = entry.remove();
+            let from = self.nodes.iter().position(|it| it.id().vm == message.from.vm).unwrap();
+            if !self.cut[idx] && !self.cut[from] {
+                self.nodes[idx].receive(message, self.now);
+                self.carry_out(idx);
+            }
+        }
+        for idx in 0..self.nodes.len() {
+            self.nodes[idx].tick(self.now);
+            self.carry_out(idx);
+        }
+    }
+
+    fn carry_out(&mut self, idx: usize) {
+        let generation = self.nodes[idx].generation();
+        for effect in self.nodes[idx].take_effects() {
+            match effect {
+                ReplicaEffect::Store(store) => self.store(idx, store),
+                ReplicaEffect::Send(to, message) => self.send(&to, message),
+                ReplicaEffect::Apply(index, command) => {
+                    let generation = generation.expect("a member has a generation");
+                    self.check_applied(generation, index, command);
+                }
+                ReplicaEffect::Restore(_) | ReplicaEffect::Role(_) | ReplicaEffect::Reborn(_) => {}
+            }
+        }
+    }
+
+    fn check_applied(&mut self, generation: GenerationId, index: u64, command: Vec<u8>) {
+        self.n_applied += 1;
+        let known = self.applied.entry((generation, index)).or_insert_with(|| command.clone());
+        assert_eq!(*known, command, "two commands were applied at index {index}");
+    }
+
+    fn store(&mut self, idx: usize, effect: StoreEffect) {
+        let disk = &mut self.disks[idx];
+        match effect {
+            StoreEffect::SaveState(hard) => disk.hard = Some(hard),
+            StoreEffect::Append(entries) => entries.into_iter().for_each(|it| disk.log.push(it)),
+            StoreEffect::TruncateFrom(index) => disk.log.truncate_from(index),
+            StoreEffect::SaveSnapshot(snapshot) => disk.log.install(snapshot),
+            StoreEffect::Reset(hard) => {
+                *disk = Disk { hard: Some(hard), log: ReplicaLog::default() }
+            }
+        }
+    }
+
+    fn send(&mut self, to: &VmName, message: ReplicaMessage) {
+        self.n_sent += 1;
+        if self.n_sent.is_multiple_of(self.drop_every) {
+            return;
+        }
+        let idx = self.nodes.iter().position(|it| it.id().vm == *to).unwrap();
+        // Delays differ, so messages overtake each other; some come twice.
+        let delay_ms = (self.n_sent * 7) % 35;
+        let due_at = self.now.plus_ms(delay_ms);
+        if self.n_sent.is_multiple_of(11) {
+            self.waiting.insert((due_at.plus_ms(20), self.n_sent * 2), (idx, message.clone()));
+        }
+        self.waiting.insert((due_at, self.n_sent * 2 + 1), (idx, message));
+    }
+
+    fn n_leaders_settled(&self) -> usize {
+        self.nodes.iter().filter(|it| it.is_settled_leader()).count()
+    }
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        4 => (1_u64..60, 3_u64..30).prop_map(|(steps, drop_every)| Op::Run { steps, drop_every }),
+        3 => Just(Op::Propose),
+        1 => (0_usize..5).prop_map(Op::Crash),
+        1 => (0_usize..5).prop_map(Op::LoseDisk),
+        1 => (0_usize..5).prop_map(Op::Cut),
+        1 => Just(Op::Heal),
+        1 => Just(Op::Compact),
+    ]
+}
+
+/// Runs operations, then lets the group recover; it must lead and commit again.
+fn check(n_vms: usize, rule: FoundingRule, ops: &[Op]) {
+    let mut group = Group::new(n_vms, rule);
+    group.take(&Op::Run { steps: 200, drop_every: u64::MAX });
+    for op in ops {
+        group.take(op);
+    }
+    group.take(&Op::Heal);
+    group.take(&Op::Run { steps: 1_500, drop_every: u64::MAX });
+    assert_eq!(group.n_leaders_settled(), 1, "the group has no leader in the end");
+    let n_applied = group.n_applied;
+    group.take(&Op::Propose);
+    group.take(&Op::Run { steps: 50, drop_every: u64::MAX });
+    assert_eq!(group.n_applied, n_applied + n_vms, "not every replica applies again");
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 60,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn state_on_disk_of_three(ops in prop::collection::vec(op(), 1..40)) {
+        check(3, FoundingRule::All, &ops);
+    }
+
+    #[test]
+    fn state_on_disk_of_five(ops in prop::collection::vec(op(), 1..40)) {
+        check(5, FoundingRule::All, &ops);
+    }
+
+    #[test]
+    fn state_in_memory_of_three(ops in prop::collection::vec(op(), 1..40)) {
+        check(3, FoundingRule::Majority, &ops);
+    }
+}
+
+#[test]
+fn lone_replica_leads_itself() {
+    check(1, FoundingRule::All, &[Op::Propose, Op::Crash(0), Op::Propose]);
+}
+
+#[test]
+fn leader_cut_off_steps_down_and_changes_nothing() {
+    let mut group = Group::new(3, FoundingRule::All);
+    group.take(&Op::Run { steps: 200, drop_every: u64::MAX });
+    let leader = group.nodes.iter().position(ReplicaNode::is_settled_leader).unwrap();
+    group.take(&Op::Cut(leader));
+    let commit = group.nodes[leader].commit_index();
+    group.take(&Op::Propose);
+    group.take(&Op::Run { steps: 200, drop_every: u64::MAX });
+    assert_eq!(group.nodes[leader].commit_index(), commit);
+    assert_ne!(group.nodes[leader].role(), ReplicaRole::Leader);
+    assert_eq!(group.n_leaders_settled(), 1);
+}
--- a/load/src/load_args.rs
+++ b/load/src/load_args.rs
@@ -38,6 +38,9 @@
     /// stand-ins' HTTP, IP:PORT, separated by commas; their records are checked at the end
     #[argh(option, default = "String::new()")]
     pub(crate) standins: String,
+    /// control VMs' HTTP, IP:PORT, separated by commas; operators race there during the run
+    #[argh(option, default = "String::new()")]
+    pub(crate) controls: String,
     /// work that the endpoints do at once: the sum of slots over factor
     #[argh(option)]
     pub(crate) capacity: f64,
--- a/load/src/load_report.rs
+++ b/load/src/load_report.rs
@@ -69,6 +69,12 @@
     pub(crate) wasted_per_task: f64,
     /// Starts by endpoint.
     pub(crate) starts: IndexMap<String, u64>,
+    /// Jobs whose end was asked for afterwards, by what was known before and after.
+    #[serde(default)]
+    pub(crate) followed_up: IndexMap<String, u64>,
+    /// Changes of the configuration during the run.
+    #[serde(default)]
+    pub(crate) changes: IndexMap<String, u64>,
     /// What must always hold and did not.
     pub(crate) violations: Vec<String>,
 }
@@ -126,6 +132,12 @@
             );
         }
         println!("counts: {:?}", self.counts);
+        if !self.followed_up.is_empty() {
+            println!("followed up: {:?}", self.followed_up);
+        }
+        if !self.changes.is_empty() {
+            println!("changes: {:?}", self.changes);
+        }
         for violation in &self.violations {
             println!("VIOLATION: {violation}");
         }
--- a/load/src/load_run.rs
+++ b/load/src/load_run.rs
@@ -10,7 +10,7 @@
 use anyhow::ensure;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use hyper::Method;
+use hyper::{Method, Response};
 use indexmap::{IndexMap, IndexSet};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -24,6 +24,7 @@
     load_args::RunCommand,
     load_client,
     load_report::{KindReport, KindTimes, LoadReport, RefusalReport},
+    operator_race,
 };
 
 /// Round trip that the ideal includes, in ms.
@@ -32,6 +33,8 @@
 const BURST_SECONDS: f64 = 2.0;
 /// Time after the deadline for which an answer is waited for.
 const ANSWER_GRACE: Duration = Duration::from_secs(15);
+/// Times that a job without a known end is asked for.
+const FOLLOW_UP_TRIES: usize = 60;
 /// Time for tasks that still run at the end of a run.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
@@ -44,6 +47,8 @@
     response: Duration,
     end: String,
     ran: String,
+    /// Whether the copy that was sent again ran, if there was one.
+    copy_ran: Option<String>,
     violation: Option<String>,
 }
 
@@ -54,7 +59,16 @@
     ensure!(!entries.is_empty(), "--entries names no entry");
     let pool = ConnectionPool::new();
     let before = counts(&pool, &entries).await?;
+    let controls = load_client::addresses(&args.controls)?;
+    let race = tokio::spawn(operator_race::run(
+        pool.clone(),
+        controls,
+        entries.clone(),
+        args.seed,
+        Duration::from_secs_f64(args.seconds),
+    ));
     let ends = drive(args, &entries, &pool).await?;
+    let race = race.await?;
     time::sleep(SETTLE_TIME).await;
     let after = counts(&pool, &entries).await?;
     let mut report = summarize(args, &ends)?;
@@ -63,6 +77,9 @@
         report.counts.insert(name, value - former);
     }
     note_waste(&mut report);
+    report.violations.extend(race.violations);
+    report.changes = race.counts;
+    follow_up(&pool, &entries, &ends, &mut report).await;
     check_starts(&pool, &standins, &ends, &mut report).await?;
     report.print();
     if let Some(path) = &args.output {
@@ -177,10 +194,11 @@
         load_client::send(pool, Method::POST, entry, "/v1/jobs", Some(&key), body, limit).await;
     let response = plan.intended.elapsed();
     let (end, ran, mut violation) = read_answer(&job, &key, answer.map(|it| it.into_body()).ok());
-    if let Some(again) = again
-        && let Ok(Ok(answer)) = again.await
-    {
-        let (_, _, other_violation) = read_answer(&job, &key, Some(answer.into_body()));
+    let mut copy_ran = None;
+    if let Some(again) = again {
+        let answer = again.await.ok().and_then(Result::ok).map(Response::into_body);
+        let (_, ran, other_violation) = read_answer(&job, &key, answer);
+        copy_ran = Some(ran);
         violation = violation.or(other_violation);
     }
     if let Some(cancelling) = cancelling {
@@ -189,7 +207,7 @@
             cancelling.abort();
         }
     }
-    JobEnd { job, key, sent_at: plan.sent_at, response, end, ran, violation }
+    JobEnd { job, key, sent_at: plan.sent_at, response, end, ran, copy_ran, violation }
 }
 
 /// How an answer reads: its end, whether the job ran, and what is wrong with it.
@@ -310,6 +328,38 @@
     report.counts.retain(|name, value| !name.starts_with("violated ") && *value != 0.0);
 }
 
+/// Asks for jobs whose answer did not come or was not known: all must have an end.
+async fn follow_up(
+    pool: &ConnectionPool,
+    entries: &[String],
+    ends: &[JobEnd],
+    report: &mut LoadReport,
+) {
+    let unknown = ["no answer", "outcome_unknown", "home_unreachable"];
+    for end in ends.iter().filter(|it| unknown.contains(&it.end.as_str())) {
+        let path = format!("/v1/jobs/{}", end.key);
+        let mut state = String::from("nobody answers");
+        for turn in 0..FOLLOW_UP_TRIES {
+            let entry = &entries[turn % entries.len()];
+            let answer = load_client::get_text(pool, entry, &path).await.unwrap_or_default();
+            let value: Value = serde_json::from_str(&answer).unwrap_or_default();
+            state = value["state"]
+                .as_str()
+                .or(value["error"]["kind"].as_str())
+                .unwrap_or("")
+                .to_owned();
+            if !["", "running", "home_unreachable"].contains(&state.as_str()) {
+                break;
+            }
+            time::sleep(Duration::from_millis(300)).await;
+        }
+        if ["", "running", "home_unreachable"].contains(&state.as_str()) {
+            report.violations.push(format!("job {} has no end: {state:?}", end.key));
+        }
+        *report.followed_up.entry(format!("{} then {state}", end.end)).or_default() += 1;
+    }
+}
+
 /// Checks the stand-ins' records: no task twice, and no task of a job that did not run.
 async fn check_starts(
     pool: &ConnectionPool,
@@ -331,8 +381,17 @@
             }
         }
         report.starts.insert(standin.clone(), n_starts);
+        let counts = load_client::get_text(pool, standin, "/counts").await.unwrap_or_default();
+        let counts: Value = serde_json::from_str(&counts).unwrap_or_default();
+        if let Some(n_late) = counts["n_late_starts"].as_u64().filter(|it| 0 < *it) {
+            report.violations.push(format!("{standin} got {n_late} tasks while it left"));
+        }
     }
-    for end in ends.iter().filter(|it| it.ran == "not_run" && jobs.contains(&it.key)) {
+    // A copy may be refused as not run while the other is claimed after that and runs.
+    let refused = ends.iter().filter(|it| {
+        it.ran == "not_run" && it.copy_ran.as_deref().is_none_or(|ran| ran == "not_run")
+    });
+    for end in refused.filter(|it| jobs.contains(&it.key)) {
         report.violations.push(format!("job {} was answered as not run and ran", end.key));
     }
     Ok(())
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -7,6 +7,7 @@
 mod load_client;
 mod load_report;
 mod load_run;
+mod operator_race;
 
 use std::net::{TcpListener, UdpSocket};
 
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,6 +1,6 @@
 //! `yuccamux-standin`: a stand-in endpoint, for trials and tests only.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, sync::Arc, time::Duration};
 
 use anyhow::Context;
 use argh::FromArgs;
@@ -59,6 +59,9 @@
     /// rack that it announces
     #[argh(option, default = "String::new()")]
     rack: String,
+    /// file that keeps the record of starts across lives of the process
+    #[argh(option)]
+    record: Option<PathBuf>,
     /// bearer token for the announcements
     #[argh(option)]
     token: Option<String>,
@@ -75,6 +78,7 @@
         "run-ms",
         "spread",
         "rack",
+        "record",
         "token",
     ];
 }
@@ -89,7 +93,8 @@
         factor: args.factor,
         run_ms: args.run_ms,
         spread: args.spread,
-    });
+        record: args.record.clone(),
+    })?;
     let listener = TcpListener::bind(args.listen).await.context("--listen")?;
     let address = listener.local_addr()?;
     info!("{} listens on {address}", args.name);
--- a/standin/src/standin_endpoint.rs
+++ b/standin/src/standin_endpoint.rs
@@ -4,6 +4,9 @@
 //! the behaviour, `GET /starts` lists the record as one JSON object a line.
 
 use std::{
+    fs::{self, File, OpenOptions},
+    io::Write,
+    path::PathBuf,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -41,6 +44,8 @@
     pub run_ms: f64,
     /// Spread of run times, as a share of each.
     pub spread: f64,
+    /// File that keeps the record across lives of the process.
+    pub record: Option<PathBuf>,
 }
 
 /// A recorded start.
@@ -86,6 +91,7 @@
     script: StandinScript,
     leaving_since_ms: Option<u64>,
     starts: Vec<StartRecord>,
+    record: Option<File>,
     running: IndexMap<String, Arc<Notify>>,
     counts: StandinCounts,
 }
@@ -99,20 +105,33 @@
 }
 
 impl StandinEndpoint {
-    /// A stand-in without tasks.
-    pub fn new(settings: StandinSettings) -> Arc<StandinEndpoint> {
-        Arc::new(StandinEndpoint {
+    /// A stand-in without tasks, with the record of its earlier lives.
+    ///
+    /// # Errors
+    ///
+    /// When the record's file cannot be read or written.
+    pub fn new(settings: StandinSettings) -> anyhow::Result<Arc<StandinEndpoint>> {
+        let mut starts = Vec::new();
+        let mut record = None;
+        if let Some(path) = &settings.record {
+            let text = if path.exists() { fs::read_to_string(path)? } else { String::new() };
+            // A life that was killed may have left half a line.
+            starts.extend(text.lines().filter_map(|it| serde_json::from_str(it).ok()));
+            record = Some(OpenOptions::new().create(true).append(true).open(path)?);
+        }
+        Ok(Arc::new(StandinEndpoint {
             slots: Semaphore::new(settings.slots as usize),
             settings,
             clock: WallClock::new(),
             state: Mutex::new(StandinState {
                 script: StandinScript::default(),
                 leaving_since_ms: None,
-                starts: Vec::new(),
+                starts,
+                record,
                 running: IndexMap::new(),
                 counts: StandinCounts::default(),
             }),
-        })
+        }))
     }
 
     /// Life of the stand-in.
@@ -249,12 +268,19 @@
         if state.leaving_since_ms.is_some_and(|since| 5_000 < now_ms.saturating_sub(since)) {
             state.counts.n_late_starts += 1;
         }
-        state.starts.push(StartRecord {
+        let start = StartRecord {
             task: task.to_owned(),
             job: job.to_owned(),
             incarnation: self.incarnation(),
             at_ms: now_ms,
-        });
+        };
+        if let Some(file) = &mut state.record {
+            let mut line = serde_json::to_vec(&start).unwrap_or_default();
+            line.push(b'\n');
+            // One write, so that the line is whole when the process is killed.
+            let _ = file.write_all(&line);
+        }
+        state.starts.push(start);
         state.running.insert(task.to_owned(), Arc::clone(&cancelled));
         cancelled
     }
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -760,8 +760,11 @@
             FaultKind::EmptyControlDisk => {
                 // One disk at a time: with a majority of them the state is gone.
                 let n_controls = self.layout.with_role(VmRole::Control).len();
-                let n_voters = self.controls.values().map(|it| it.node.node().voters().len()).min();
-                let is_whole = self.controls.len() == n_controls && n_voters == Some(n_controls);
+                let ids: Vec<&ReplicaId> =
+                    self.controls.values().map(|it| it.node.node().id()).collect();
+                let knows_all =
+                    |it: &FakeControl| ids.iter().all(|id| it.node.node().voters().contains(*id));
+                let is_whole = ids.len() == n_controls && self.controls.values().all(knows_all);
                 if !is_whole || !self.frozen.is_empty() {
                     return None;
                 }
