--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -29,6 +29,8 @@
 const FAR_HEARTBEAT_EVERY: u64 = 5;
 /// Time between comparisons of configuration versions, in ms.
 const CONFIG_PULL_MS: u64 = 1_000;
+/// Time between comparisons of configuration versions before the first work, in ms.
+const FIRST_PULL_MS: u64 = 100;
 /// Time after the start for which a VM listens before it takes work, in ms.
 const LISTEN_MS: u64 = 1_000;
 /// Time that a call may take unless it states another, in ms.
@@ -247,7 +249,9 @@
             return refuse("the VM has just started");
         }
         let highest = self.peers.highest_version(now).map_or(0, |(version, _)| version);
-        if !self.was_ready && self.image.version < highest {
+        // Without any configuration every workspace would seem unknown.
+        let lacks_config = self.image.version == 0 || self.image.version < highest;
+        if !self.was_ready && lacks_config {
             return refuse("the VM does not hold the configuration in force yet");
         }
         let group = GroupName::from(self.centre.as_str());
@@ -459,7 +463,8 @@
             self.send_news(now);
             self.endpoints.forget_old(now);
         }
-        if CONFIG_PULL_MS <= now.since_ms(self.pulled_at) {
+        let pull_ms = if self.was_ready { CONFIG_PULL_MS } else { FIRST_PULL_MS };
+        if pull_ms <= now.since_ms(self.pulled_at) {
             self.pulled_at = now;
             self.pull_config(now);
         }
--- a/standin/src/standin_endpoint.rs
+++ b/standin/src/standin_endpoint.rs
@@ -252,8 +252,9 @@
             }
         };
         let cancelled = self.record_start(task, &job);
+        let running = RunningTask { endpoint: self, task };
         let answer = self.run_started(task, &job, &body, fault, &cancelled).await;
-        self.lock().running.swap_remove(task);
+        drop(running);
         drop(permit);
         if fault == FaultMode::CloseAfter {
             return Err(CloseConnection);
@@ -333,6 +334,18 @@
     }
 }
 
+/// A task that runs until it is dropped, be it because its connection was closed.
+struct RunningTask<'a> {
+    endpoint: &'a StandinEndpoint,
+    task: &'a str,
+}
+
+impl Drop for RunningTask<'_> {
+    fn drop(&mut self) {
+        self.endpoint.lock().running.swap_remove(self.task);
+    }
+}
+
 fn refused() -> HttpAnswer {
     let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, "no free slot\n");
     answer.headers_mut().insert(RAN_HEADER, "not_run".parse().expect("a fixed header"));
