--- a/adapters/tests/test_entry_http.rs
+++ b/adapters/tests/test_entry_http.rs
@@ -92,6 +92,7 @@
             limits: LedgerLimits { clock_skew_ms: 50, ..LedgerLimits::default() },
             election_ms: 100,
             heartbeat_ms: 30,
+            compact_entries: 64,
             seed: 1,
         };
         let (sender, inputs) = mpsc::unbounded_channel();
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -30,6 +30,8 @@
     wall_clock::WallClock,
 };
 
+/// Entries after which a ledger's log is trimmed.
+const LEDGER_COMPACT_ENTRIES: usize = 20_000;
 /// Time between saying that the VM stops and refusing connections.
 const STOP_NOTICE: Duration = Duration::from_millis(500);
 
@@ -215,6 +217,7 @@
         },
         election_ms: args.election_ms,
         heartbeat_ms: args.heartbeat_ms,
+        compact_entries: LEDGER_COMPACT_ENTRIES,
         seed,
     };
     let (traffic_sender, traffic_inputs) = mpsc::unbounded_channel();
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -18,7 +18,7 @@
     proposal_client::{GroupRequest, ProposalClient, RequestEnd, RequestSend},
     replica_effect::{HardState, StoreEffect},
     replica_log::ReplicaLog,
-    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings},
+    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule},
     vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
 };
 
@@ -91,6 +91,7 @@
             vms: group_vms.clone(),
             witness: None,
             founding_rule: FoundingRule::All,
+            snapshot_rule: SnapshotRule::Kept,
             election_ms: settings.election_ms,
             heartbeat_ms: settings.heartbeat_ms,
             clock_skew_ms: 0,
--- a/lib/src/dispatch_pass.rs
+++ b/lib/src/dispatch_pass.rs
@@ -44,11 +44,10 @@
 
     fn slot_views(&self, now: ClockTime) -> Vec<SlotView> {
         let views = self.endpoints.iter().map(|(name, slots)| {
-            let trust = if slots.accepts_work {
-                self.quarantine.trust(name, now)
-            } else {
-                TrustLevel::None
-            };
+            // A process that was frozen must not go by what it knew before.
+            let accepts_work = slots.accepts_work && slots.is_fresh(now);
+            let trust =
+                if accepts_work { self.quarantine.trust(name, now) } else { TrustLevel::None };
             SlotView {
                 n_slots: slots.capacity(trust),
                 n_free: slots.n_free(trust, now),
@@ -154,7 +153,7 @@
     ) {
         let Some((name, slots)) = self.endpoints.get_index(idx) else { return };
         let name = name.clone();
-        check_invariant(Invariant::EndpointAcceptsWork, slots.accepts_work);
+        check_invariant(Invariant::EndpointAcceptsWork, slots.accepts_work && slots.is_fresh(now));
         let expected_ms = self.estimates.run_ms(path, &name);
         let options = self.traced_options(idx, candidates);
         let Some(job) = self.jobs.get_mut(&number) else { return };
--- a/lib/src/endpoint_slots.rs
+++ b/lib/src/endpoint_slots.rs
@@ -3,8 +3,12 @@
 use indexmap::IndexMap;
 
 use crate::{
-    endpoint_table::EndpointRecord, job_run::TaskRef, prelude::*, quarantine_list::TrustLevel,
-    run_estimates::KindPath, slot_leases::SlotLease,
+    endpoint_table::{EndpointRecord, FRESH_MS},
+    job_run::TaskRef,
+    prelude::*,
+    quarantine_list::TrustLevel,
+    run_estimates::KindPath,
+    slot_leases::SlotLease,
 };
 
 /// A task handed to an endpoint.
@@ -39,6 +43,11 @@
         }
     }
 
+    /// Whether the last announcement still counts.
+    pub(crate) fn is_fresh(&self, now: ClockTime) -> bool {
+        now.since_ms(self.heard_at) <= FRESH_MS
+    }
+
     /// Slots that this entry may use, within the connections and the trust.
     pub(crate) fn capacity(&self, trust: TrustLevel) -> u32 {
         let capacity = self.lease.capacity().min(self.record.connections);
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -17,7 +17,7 @@
     peer_table::{PeerHeartbeat, PeerTable},
     prelude::*,
     proposal_client::{GroupRequest, ProposalClient, RequestEnd, RequestSend},
-    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings},
+    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule},
     slot_leases::LeaseMessage,
     vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
     workspace_template::{self, ResolvedConfig},
@@ -49,6 +49,8 @@
     pub election_ms: u64,
     /// Time between a leader's heartbeats, in ms.
     pub heartbeat_ms: u64,
+    /// Entries after which a ledger's log is trimmed.
+    pub compact_entries: usize,
     /// Seed of all jitter.
     pub seed: u64,
 }
@@ -622,13 +624,15 @@
         vms: vms.to_vec(),
         witness: settings.layout.ledger_witness(home),
         founding_rule: FoundingRule::Majority,
+        snapshot_rule: SnapshotRule::OnDemand,
         election_ms: settings.election_ms,
         heartbeat_ms: settings.heartbeat_ms,
         clock_skew_ms: settings.limits.clock_skew_ms,
         seed: settings.seed,
     };
     let id = ReplicaId { vm: settings.owner.vm.clone(), incarnation: settings.owner.incarnation };
-    LedgerGroup::new(ReplicaNode::new_fresh(replica_settings, id, now), settings.limits)
+    let node = ReplicaNode::new_fresh(replica_settings, id, now);
+    LedgerGroup::new(node, settings.limits, settings.compact_entries)
 }
 
 fn ledger_request(command: LedgerCommand) -> GroupRequest {
--- a/lib/src/job_dispatcher.rs
+++ b/lib/src/job_dispatcher.rs
@@ -15,7 +15,7 @@
 use crate::{
     dispatch_queue::{DispatchQueue, JobRank},
     endpoint_slots::EndpointSlots,
-    endpoint_table::{EndpointState, FRESH_MS},
+    endpoint_table::EndpointState,
     job_run::{JobNumber, JobRun, JobSpec, JobTrace, RepeatRule, TaskRef, TaskReport, TaskState},
     policy_settings::PolicySettings,
     prelude::*,
@@ -258,7 +258,7 @@
 
     fn refresh_acceptance(&mut self, now: ClockTime) {
         for (name, slots) in &mut self.endpoints {
-            let is_fresh = now.since_ms(slots.heard_at) <= FRESH_MS;
+            let is_fresh = slots.is_fresh(now);
             let is_drained = self.config.drained.contains(name);
             slots.accepts_work = is_fresh && !slots.record.leaving && !is_drained;
         }
--- a/lib/src/ledger_group.rs
+++ b/lib/src/ledger_group.rs
@@ -13,8 +13,6 @@
     replica_node::{ReplicaNode, ReplicaRole},
 };
 
-/// Entries after which the ledger's log is compacted.
-const COMPACT_ENTRIES: usize = 20_000;
 /// Time between looks for lost owners, in ms.
 const OWNER_CHECK_MS: u64 = 500;
 
@@ -43,8 +41,8 @@
 }
 
 impl LedgerGroup {
-    /// A ledger around a replica.
-    pub fn new(node: ReplicaNode, limits: LedgerLimits) -> LedgerGroup {
+    /// A ledger around a replica, whose log is trimmed after `compact_entries` entries.
+    pub fn new(node: ReplicaNode, limits: LedgerLimits, compact_entries: usize) -> LedgerGroup {
         let functions = StateFunctions {
             found: Box::new(move |fence| JobLedger::new(limits, fence)),
             apply: Box::new(apply_entry),
@@ -52,7 +50,7 @@
             decode: Box::new(move |bytes| JobLedger::decode(limits, bytes).ok()),
         };
         LedgerGroup {
-            group: LogGroup::new(node, functions, COMPACT_ENTRIES),
+            group: LogGroup::new(node, functions, compact_entries),
             awaits: IndexMap::new(),
             led_since: ClockTime::default(),
             owners_checked_at: ClockTime::default(),
--- a/lib/src/log_group.rs
+++ b/lib/src/log_group.rs
@@ -11,7 +11,7 @@
     prelude::*,
     replica_effect::{ReplicaEffect, StoreEffect},
     replica_message::ReplicaMessage,
-    replica_node::{ReplicaNode, ReplicaRole},
+    replica_node::{ReplicaNode, ReplicaRole, SnapshotRule},
 };
 
 /// Applies a command to a state and encodes the answer.
@@ -147,13 +147,29 @@
         self.node.flush(now);
         self.carry_out();
         if self.compact_entries <= self.node.log().n_entries() {
-            let state = (self.functions.encode)(&self.state);
-            self.node.compact(state);
-            self.carry_out();
+            self.compact();
+        }
+    }
+
+    fn compact(&mut self) {
+        match self.node.snapshot_rule() {
+            SnapshotRule::Kept => {
+                let state = (self.functions.encode)(&self.state);
+                self.node.compact(state);
+                self.carry_out();
+            }
+            // Replicas that lag a little are still served from the log.
+            SnapshotRule::OnDemand => self.node.trim(self.compact_entries as u64 / 2),
         }
     }
 
     fn carry_out(&mut self) {
+        while self.carry_out_once() {}
+    }
+
+    /// Carries out what the replica asks for; returns whether that led to more.
+    fn carry_out_once(&mut self) -> bool {
+        let mut again = false;
         for effect in self.node.take_effects() {
             match effect {
                 ReplicaEffect::Store(it) => self.effects.push(GroupEffect::Store(it)),
@@ -168,6 +184,11 @@
                             .expect("a snapshot decodes with the code that made it")
                     };
                 }
+                ReplicaEffect::NeedState(id) => {
+                    let state = (self.functions.encode)(&self.state);
+                    self.node.send_state(&id, state);
+                    again = true;
+                }
                 ReplicaEffect::Role(role) => {
                     if role != ReplicaRole::Leader {
                         self.refuse_waiters();
@@ -180,6 +201,7 @@
                 }
             }
         }
+        again
     }
 
     fn apply(&mut self, index: u64, command: &[u8]) {
--- a/lib/src/replica_effect.rs
+++ b/lib/src/replica_effect.rs
@@ -52,6 +52,9 @@
     Apply(u64, Vec<u8>),
     /// Replace the state machine's state by that of a snapshot.
     Restore(LogSnapshot),
+    /// A replica needs the state, to be sent by
+    /// [`ReplicaNode::send_state`](crate::replica_node::ReplicaNode::send_state).
+    NeedState(ReplicaId),
     /// The role has changed.
     Role(ReplicaRole),
     /// The replica gave up its former life.
--- a/lib/src/replica_election.rs
+++ b/lib/src/replica_election.rs
@@ -164,8 +164,7 @@
         let next = self.log.last_index() + 1;
         for voter in self.voters().clone() {
             if voter != self.hard.id {
-                let progress = PeerProgress { matched: 0, next, heard_at: now, sent_at: now };
-                self.progress.insert(voter, progress);
+                self.progress.insert(voter, PeerProgress::new(next, now));
             }
         }
         self.set_role(ReplicaRole::Leader, now);
--- a/lib/src/replica_founding.rs
+++ b/lib/src/replica_founding.rs
@@ -164,8 +164,7 @@
         let voters = self.voters().clone();
         self.progress.retain(|id, _| id.vm != from.vm || voters.contains(id));
         let next = self.log.last_index() + 1;
-        let progress = PeerProgress { matched: 0, next, heard_at: now, sent_at: now };
-        self.progress.insert(from, progress);
+        self.progress.insert(from, PeerProgress::new(next, now));
     }
 
     /// Admits a caught-up replica, first removing the former one of its VM.
--- a/lib/src/replica_log.rs
+++ b/lib/src/replica_log.rs
@@ -40,7 +40,8 @@
     pub voters: IndexSet<ReplicaId>,
     /// Time before which an earlier generation may have accepted commands.
     pub fence: ClockTime,
-    /// State, encoded by its owner; empty right after a founding.
+    /// State, encoded by its owner; empty right after a founding, and where a log was
+    /// trimmed.
     pub state: Vec<u8>,
 }
 
@@ -135,6 +136,13 @@
         self.snapshot = LogSnapshot { index, term, voters, fence, state };
     }
 
+    /// Drops the entries up to `index` and keeps no state in their place.
+    pub fn trim(&mut self, index: u64) {
+        if self.snapshot.index < index {
+            self.compact(index, Vec::new());
+        }
+    }
+
     /// Replaces the whole log by `snapshot`, keeping entries that follow it.
     pub fn install(&mut self, snapshot: LogSnapshot) {
         if self.term_at(snapshot.index) == Some(snapshot.term) {
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -34,6 +34,15 @@
     All,
 }
 
+/// When the state is encoded for a snapshot.
+#[derive(Data!, Copy)]
+pub enum SnapshotRule {
+    /// Each time the log is compacted: for state on disk.
+    Kept,
+    /// When a replica needs it: for state in memory, which may be large.
+    OnDemand,
+}
+
 /// What a replica needs to know of its group.
 #[derive(Data!)]
 pub struct ReplicaSettings {
@@ -43,6 +52,8 @@
     pub witness: Option<VmName>,
     /// VMs needed for a founding.
     pub founding_rule: FoundingRule,
+    /// When the state is encoded.
+    pub snapshot_rule: SnapshotRule,
     /// Shortest silence of a leader before an election, in ms.
     pub election_ms: u64,
     /// Time between a leader's heartbeats, in ms.
@@ -81,6 +92,15 @@
     pub(crate) heard_at: ClockTime,
     /// Last message with content.
     pub(crate) sent_at: ClockTime,
+    /// Last snapshot.
+    pub(crate) snapshot_at: Option<ClockTime>,
+}
+
+impl PeerProgress {
+    /// A replica of which nothing is known, to be sent entries from `next` on.
+    pub(crate) fn new(next: u64, now: ClockTime) -> PeerProgress {
+        PeerProgress { matched: 0, next, heard_at: now, sent_at: now, snapshot_at: None }
+    }
 }
 
 /// A VM without state, as last heard.
@@ -184,6 +204,11 @@
         self.role
     }
 
+    /// When the state is encoded.
+    pub fn snapshot_rule(&self) -> SnapshotRule {
+        self.settings.snapshot_rule
+    }
+
     /// Latest term seen.
     pub fn term(&self) -> u64 {
         self.hard.term
@@ -265,6 +290,24 @@
         self.effects.push(ReplicaEffect::Store(StoreEffect::SaveSnapshot(snapshot)));
     }
 
+    /// Drops entries applied so far but the last `n_kept`, without a snapshot of the state.
+    pub fn trim(&mut self, n_kept: u64) {
+        self.log.trim(self.applied.saturating_sub(n_kept));
+    }
+
+    /// Sends the state as of the applied index to a replica that needs it.
+    pub fn send_state(&mut self, to: &ReplicaId, state: Vec<u8>) {
+        let index = self.applied;
+        let Some(term) = self.log.term_at(index) else { return };
+        let voters = self.log.voters_at(index).clone();
+        let fence = self.log.snapshot().fence;
+        let snapshot = LogSnapshot { index, term, voters, fence, state };
+        if let Some(progress) = self.progress.get_mut(to) {
+            progress.next = index + 1;
+        }
+        self.send(to, ReplicaBody::Install(snapshot));
+    }
+
     /// Lets time pass.
     pub fn tick(&mut self, now: ClockTime) {
         match self.role {
--- a/lib/src/replica_replication.rs
+++ b/lib/src/replica_replication.rs
@@ -5,13 +5,15 @@
     replica_effect::{ReplicaEffect, StoreEffect},
     replica_log::{EntryPayload, LogEntry, LogSnapshot},
     replica_message::{AppendAnswer, ReplicaBody},
-    replica_node::{ReplicaNode, ReplicaRole},
+    replica_node::{ReplicaNode, ReplicaRole, SnapshotRule},
 };
 
 /// Most entries in one message.
 const MAX_BATCH_ENTRIES: usize = 4096;
 /// About the most bytes of commands in one message.
 const MAX_BATCH_BYTES: usize = 1 << 20;
+/// Time before a snapshot is sent again, in election times.
+const SNAPSHOT_ELECTIONS: u64 = 4;
 /// Silence after which entries are sent again, in heartbeats.
 const RESEND_HEARTBEATS: u64 = 2;
 
@@ -39,13 +41,25 @@
             return;
         }
         for idx in 0..self.progress.len() {
-            if self.progress[idx].next <= self.log.last_index() {
-                self.send_next(idx, now);
-            }
+            self.send_new(idx, now);
         }
         self.advance_commit();
     }
 
+    /// Sends what a follower lacks, unless it must have a snapshot first.
+    fn send_new(&mut self, idx: usize, now: ClockTime) {
+        let lacks_entries = self.progress[idx].next <= self.log.last_index();
+        if lacks_entries && !self.awaits_snapshot(idx, now) {
+            self.send_next(idx, now);
+        }
+    }
+
+    /// Whether a snapshot may still be on its way to a follower.
+    fn awaits_snapshot(&self, idx: usize, now: ClockTime) -> bool {
+        let pause_ms = self.settings.election_ms * SNAPSHOT_ELECTIONS;
+        self.progress[idx].snapshot_at.is_some_and(|it| now.since_ms(it) < pause_ms)
+    }
+
     fn rewind_silent_peers(&mut self, now: ClockTime) {
         let resend_ms = self.settings.heartbeat_ms * RESEND_HEARTBEATS;
         for progress in self.progress.values_mut() {
@@ -75,11 +89,24 @@
     }
 
     fn send_snapshot(&mut self, idx: usize, to: &ReplicaId, now: ClockTime) {
-        let snapshot = self.log.snapshot().clone();
+        if self.awaits_snapshot(idx, now) {
+            // A heartbeat shows that the leader is there.
+            let (prev_index, prev_term) = (self.log.last_index(), self.log.last_term());
+            let (commit, entries) = (self.commit, Vec::new());
+            self.send(to, ReplicaBody::Append { prev_index, prev_term, commit, entries });
+            return;
+        }
         let progress = &mut self.progress[idx];
-        progress.next = snapshot.index + 1;
+        progress.snapshot_at = Some(now);
         progress.sent_at = now;
-        self.send(to, ReplicaBody::Install(snapshot));
+        match self.settings.snapshot_rule {
+            SnapshotRule::Kept => {
+                let snapshot = self.log.snapshot().clone();
+                self.progress[idx].next = snapshot.index + 1;
+                self.send(to, ReplicaBody::Install(snapshot));
+            }
+            SnapshotRule::OnDemand => self.effects.push(ReplicaEffect::NeedState(to.clone())),
+        }
     }
 
     /// Takes entries that follow `prev`, an index and its term.
@@ -199,6 +226,7 @@
         progress.heard_at = now;
         match answer {
             AppendAnswer::Matched(index) => {
+                progress.snapshot_at = None;
                 progress.matched = progress.matched.max(index.min(last_index));
                 progress.next = progress.next.max(progress.matched + 1);
             }
@@ -206,9 +234,8 @@
                 progress.next = hint.clamp(progress.matched + 1, last_index + 1);
             }
         }
-        if progress.next <= last_index {
-            let idx = self.progress.get_index_of(&from).unwrap_or_default();
-            self.send_next(idx, now);
+        if let Some(idx) = self.progress.get_index_of(&from) {
+            self.send_new(idx, now);
         }
         self.advance_commit();
     }
--- a/lib/tests/test_job_dispatcher.rs
+++ b/lib/tests/test_job_dispatcher.rs
@@ -257,6 +257,16 @@
     assert_eq!(bench.starts.len(), 1, "an announcement counts for 3 s");
 }
 
+#[test]
+fn frozen_process_gives_nothing_to_endpoints_it_no_longer_hears() {
+    let mut bench = Bench::new(&[("e", 1)]);
+    bench.submit(2, RepeatRule::AtMostOnce);
+    // The end of the first task is the first thing that it sees after eight seconds.
+    bench.now = bench.now.plus_ms(8_000);
+    bench.report(0, done("x"));
+    assert_eq!(bench.starts.len(), 1);
+}
+
 #[test]
 fn fast_failer_costs_few_failures() {
     let mut bench = Bench::new(&[("good", 4), ("bad", 4)]);
--- a/lib/tests/test_replica_log.rs
+++ b/lib/tests/test_replica_log.rs
@@ -9,7 +9,7 @@
     replica_effect::{HardState, ReplicaEffect, StoreEffect},
     replica_log::ReplicaLog,
     replica_message::ReplicaMessage,
-    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings},
+    replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule},
 };
 
 const STEP_MS: u64 = 10;
@@ -64,6 +64,10 @@
         vms: (0..n_vms).map(vm).collect(),
         witness: None,
         founding_rule: rule,
+        snapshot_rule: match rule {
+            FoundingRule::All => SnapshotRule::Kept,
+            FoundingRule::Majority => SnapshotRule::OnDemand,
+        },
         election_ms: ELECTION_MS,
         heartbeat_ms: 50,
         clock_skew_ms: 10,
@@ -123,7 +127,10 @@
             Op::Compact => {
                 for idx in 0..n_vms {
                     if self.nodes[idx].role() == ReplicaRole::Leader {
-                        self.nodes[idx].compact(vec![1]);
+                        match self.rule {
+                            FoundingRule::All => self.nodes[idx].compact(vec![1]),
+                            FoundingRule::Majority => self.nodes[idx].trim(2),
+                        }
                         self.carry_out(idx);
                     }
                 }
@@ -178,6 +185,7 @@
 
     fn carry_out(&mut self, idx: usize) {
         let generation = self.nodes[idx].generation();
+        let mut needs_more = false;
         for effect in self.nodes[idx].take_effects() {
             match effect {
                 ReplicaEffect::Store(store) => self.store(idx, store),
@@ -186,9 +194,16 @@
                     let generation = generation.expect("a member has a generation");
                     self.check_applied(generation, index, command);
                 }
+                ReplicaEffect::NeedState(id) => {
+                    self.nodes[idx].send_state(&id, vec![1]);
+                    needs_more = true;
+                }
                 ReplicaEffect::Restore(_) | ReplicaEffect::Role(_) | ReplicaEffect::Reborn(_) => {}
             }
         }
+        if needs_more {
+            self.carry_out(idx);
+        }
     }
 
     fn check_applied(&mut self, generation: GenerationId, index: u64, command: Vec<u8>) {
--- a/testutils/src/fake_entry.rs
+++ b/testutils/src/fake_entry.rs
@@ -83,6 +83,7 @@
             limits,
             election_ms: 400,
             heartbeat_ms: 100,
+            compact_entries: 64,
             seed: now.0,
         };
         FakeEntry {
--- a/testutils/src/message_bag.rs
+++ b/testutils/src/message_bag.rs
@@ -69,6 +69,11 @@
         self.counts
     }
 
+    /// Messages on their way.
+    pub fn n_waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Treats messages better or worse from now on.
     pub fn set_faults(&mut self, faults: BagFaults) {
         self.faults = faults;
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -40,6 +40,8 @@
 const IN_FORCE_MS: u64 = 7_000;
 /// Time at the start for groups to be founded, in ms.
 const WARMUP_MS: u64 = 4_000;
+/// Messages on their way at once that show that messages cause ever more of them.
+const MAX_WAITING: usize = 50_000;
 /// Longest a stopping entry may take, in ms.
 const STOP_MS: u64 = 45_000;
 
@@ -242,6 +244,10 @@
                 self.mend_all();
             }
             self.step();
+            if MAX_WAITING < self.bag.n_waiting() {
+                self.record.violations.push("messages multiply".to_owned());
+                break;
+            }
         }
         self.check_end();
         let complete =
