lib: keep fast slots for the urgent class; ask for slots when it is worth a message

Cause: at 80% of the slots every fast slot was in use by long tasks, so a short urgent task found slow slots only; and an entry asked another for slots whenever a single task waited. A request for slots was also counted twice as wasted. Ruled out: placement, which sent urgent tasks to the best slot that was free. Change: as many slots of the fastest endpoints are kept as the urgent class is likely to need at once, by its mean demand and a square-root margin. Slots are asked for once a sixth of the own ones is wanted.

--- a/lib/src/dispatch_leases.rs
+++ b/lib/src/dispatch_leases.rs
@@ -12,6 +12,8 @@
 
 /// Time between two requests to the same entry, in ms.
 const ASK_INTERVAL_MS: u64 = 20;
+/// Part of the own slots that must be wanted before others are asked.
+const ASK_SHARE: u32 = 6;
 /// Time without waiting tasks after which borrowed slots are returned, in ms.
 const IDLE_MS: u64 = 100;
 /// Share of the free slots of another entry that is worth asking for.
@@ -24,7 +26,7 @@
             return;
         }
         let n_wanted = self.n_wanted_slots();
-        if n_wanted == 0 {
+        if n_wanted < self.min_wanted_slots() {
             return;
         }
         let vm = self.peers.iter().max_by_key(|(_, it)| it.n_free);
@@ -52,6 +54,12 @@
         lanes.map(|(_, lane)| lane.n_tasks as u32).sum()
     }
 
+    /// Waiting tasks that are worth a message: the own slots soon take fewer.
+    fn min_wanted_slots(&self) -> u32 {
+        let n_slots: u32 = self.endpoints.values().map(|it| it.lease.capacity()).sum();
+        (n_slots / ASK_SHARE).max(1)
+    }
+
     /// Takes a message about leases.
     pub fn take_lease(&mut self, from: &VmName, message: LeaseMessage, now: ClockTime) {
         match message {
--- a/lib/src/dispatch_pass.rs
+++ b/lib/src/dispatch_pass.rs
@@ -8,9 +8,11 @@
     job_dispatcher::{DispatchEffect, JobDispatcher},
     job_run::{JobNumber, PlacementOption, TaskRef},
     placement_choice::{self, PlacementCandidate, PlacementChoice},
+    policy_settings::OrderRule,
     prelude::*,
     quarantine_list::TrustLevel,
     run_estimates::KindPath,
+    workspace_template::UrgencyClass,
 };
 
 /// Other endpoints noted in a task's trace.
@@ -22,6 +24,8 @@
     n_slots: u32,
     n_free: u32,
     n_outstanding: u32,
+    /// Free slots that only the most urgent class may take.
+    n_reserved: u32,
 }
 
 impl JobDispatcher {
@@ -52,9 +56,38 @@
                 n_slots: slots.capacity(trust),
                 n_free: slots.n_free(trust, now),
                 n_outstanding: slots.in_flight.len() as u32,
+                n_reserved: 0,
             }
         });
-        views.collect()
+        let mut views = views.collect();
+        if self.policy.order == OrderRule::UrgencyFairNearest {
+            self.reserve_slots(&mut views);
+        }
+        views
+    }
+
+    /// Keeps free slots of the fastest endpoints for the most urgent class.
+    fn reserve_slots(&self, views: &mut Vec<SlotView>) {
+        let mut n_left = self.reserve.n_slots();
+        if n_left == 0 {
+            return;
+        }
+        let mut order: Vec<(f64, usize)> = Vec::new();
+        for (idx, name) in self.endpoints.keys().enumerate() {
+            if 0 < views[idx].n_slots {
+                order.push((self.estimates.factor(name), idx));
+            }
+        }
+        order.sort_by(|lhs, rhs| lhs.0.total_cmp(&rhs.0));
+        for (_, idx) in order {
+            if n_left == 0 {
+                return;
+            }
+            let n_kept = n_left.min(views[idx].n_slots);
+            n_left -= n_kept;
+            let n_urgent = self.endpoints[idx].n_urgent();
+            views[idx].n_reserved = n_kept.saturating_sub(n_urgent);
+        }
     }
 
     /// Slots that a workspace uses in the data centre, as far as is known.
@@ -114,6 +147,7 @@
 
     fn candidates(&self, path: &KindPath, views: &[SlotView]) -> Vec<PlacementCandidate> {
         let spec = self.config.kind(path.0.as_str(), path.1.as_str()).ok();
+        let is_urgent = spec.is_some_and(|it| it.urgency == UrgencyClass::High);
         let allowed = self.endpoints.iter().enumerate().filter(|(idx, (name, slots))| {
             0 < views[*idx].n_slots
                 && slots.serves(&path.1)
@@ -123,7 +157,10 @@
             idx,
             run_ms: self.estimates.run_ms(path, name),
             n_slots: views[idx].n_slots,
-            n_free: views[idx].n_free,
+            n_free: match is_urgent {
+                true => views[idx].n_free,
+                false => views[idx].n_free.saturating_sub(views[idx].n_reserved),
+            },
             n_outstanding: views[idx].n_outstanding,
         });
         candidates.collect()
@@ -155,6 +192,7 @@
         let name = name.clone();
         check_invariant(Invariant::EndpointAcceptsWork, slots.accepts_work && slots.is_fresh(now));
         let expected_ms = self.estimates.run_ms(path, &name);
+        let urgency = self.queue.lane(path).map_or(UrgencyClass::Normal, |it| it.urgency);
         let options = self.traced_options(idx, candidates);
         let Some(job) = self.jobs.get_mut(&number) else { return };
         let rank = JobRank { n_left: job.n_left(), job: number };
@@ -175,7 +213,7 @@
         *self.usage.entry(path.0.clone()).or_default() += 1;
         let task = TaskRef { job: number, idx: task_idx };
         let Some(slots) = self.endpoints.get_mut(&name) else { return };
-        let flight = FlightRecord { kind: path.clone(), started_at: now, expected_ms };
+        let flight = FlightRecord { kind: path.clone(), urgency, started_at: now, expected_ms };
         slots.in_flight.insert(task, flight);
         let address = slots.record.address.clone();
         let connections = slots.record.connections;
--- a/lib/src/endpoint_slots.rs
+++ b/lib/src/endpoint_slots.rs
@@ -9,12 +9,14 @@
     quarantine_list::TrustLevel,
     run_estimates::KindPath,
     slot_leases::SlotLease,
+    workspace_template::UrgencyClass,
 };
 
 /// A task handed to an endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct FlightRecord {
     pub(crate) kind: KindPath,
+    pub(crate) urgency: UrgencyClass,
     pub(crate) started_at: ClockTime,
     pub(crate) expected_ms: f64,
 }
@@ -66,6 +68,12 @@
         self.capacity(trust).saturating_sub(self.in_flight.len() as u32)
     }
 
+    /// Tasks of the most urgent class that run there.
+    pub(crate) fn n_urgent(&self) -> u32 {
+        let urgent = self.in_flight.values().filter(|it| it.urgency == UrgencyClass::High);
+        urgent.count() as u32
+    }
+
     /// Whether the endpoint takes this kind at all.
     pub(crate) fn serves(&self, kind: &KindName) -> bool {
         self.record.kinds.is_empty() || self.record.kinds.contains(kind)
--- a/lib/src/job_dispatcher.rs
+++ b/lib/src/job_dispatcher.rs
@@ -23,7 +23,8 @@
     retry_budget::RetryBudget,
     run_estimates::RunEstimates,
     slot_leases::{self, LeaseMessage},
-    workspace_template::ResolvedConfig,
+    urgent_reserve::UrgentReserve,
+    workspace_template::{ResolvedConfig, UrgencyClass},
 };
 
 /// Ended jobs whose trace is kept.
@@ -106,6 +107,7 @@
     pub(crate) estimates: RunEstimates,
     pub(crate) quarantine: QuarantineList,
     pub(crate) budget: RetryBudget,
+    pub(crate) reserve: UrgentReserve,
     pub(crate) counts: DispatchCounts,
     cancels: IndexMap<EndpointName, Vec<TaskId>>,
     parked: VecDeque<TaskRef>,
@@ -137,6 +139,7 @@
             estimates: RunEstimates::new(),
             quarantine: QuarantineList::new(policy.quarantine),
             budget: RetryBudget::new(),
+            reserve: UrgentReserve::new(),
             counts: DispatchCounts::default(),
             cancels: IndexMap::new(),
             parked: VecDeque::new(),
@@ -274,11 +277,7 @@
         let rank = JobRank { n_left: job.n_left(), job: number };
         for (path, tasks) in &job.pending {
             if self.queue.lane(path).is_none() {
-                self.queue.set_lane(
-                    path,
-                    crate::workspace_template::UrgencyClass::Normal,
-                    u32::MAX,
-                );
+                self.queue.set_lane(path, UrgencyClass::Normal, u32::MAX);
             }
             self.queue.add(path, rank, tasks.len());
         }
@@ -493,12 +492,20 @@
         for slots in self.endpoints.values_mut() {
             slots.lease.expire(now);
         }
+        self.sample_urgent(now);
         self.unpark();
         self.flush_cancels();
         self.dispatch(now);
         self.return_idle(now);
     }
 
+    fn sample_urgent(&mut self, now: ClockTime) {
+        let running: u32 = self.endpoints.values().map(EndpointSlots::n_urgent).sum();
+        let lanes = self.queue.lanes().filter(|(_, it)| it.urgency == UrgencyClass::High);
+        let n_waiting: usize = lanes.map(|(_, it)| it.n_tasks).sum();
+        self.reserve.sample(running as usize + n_waiting, now);
+    }
+
     fn pass_deadlines(&mut self, now: ClockTime) {
         while let Some((deadline, number)) = self.deadlines.first().copied() {
             if now < deadline {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -54,5 +54,6 @@
 pub mod retry_budget;
 pub mod run_estimates;
 pub mod slot_leases;
+pub mod urgent_reserve;
 pub mod vm_layout;
 pub mod workspace_template;
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -31,12 +31,11 @@
 
 impl PeerMessage {
     /// Whether the message carries neither a change of state, a start nor an answer.
+    /// Messages about leases are counted by the dispatcher.
     pub fn is_overhead(&self) -> bool {
         matches!(
             self,
-            PeerMessage::Proposed(_, ProposalAnswer::NotLeader(_))
-                | PeerMessage::Lease(LeaseMessage::Ask(_))
-                | PeerMessage::Await(..)
+            PeerMessage::Proposed(_, ProposalAnswer::NotLeader(_)) | PeerMessage::Await(..)
         )
     }
 }
