--- a/adapters/tests/test_reference.rs
+++ b/adapters/tests/test_reference.rs
@@ -49,11 +49,13 @@
         let (name, help) = line.split_once(' ').expect("a name and a help text");
         table.push_str(&format!("| `{name}` | {help} |\n"));
     }
-    let names: Vec<&str> = text
+    let mut names: Vec<&str> = text
         .lines()
         .filter(|it| it.starts_with("yuccamux_dispatch{") || it.starts_with("yuccamux_control{"))
         .filter_map(|it| it.split_once("} ").map(|it| it.0))
         .collect();
+    // A family gives its members in no particular order.
+    names.sort_unstable();
     table.push_str("\nNames under `yuccamux_dispatch` and `yuccamux_control`:\n\n");
     for name in names {
         table.push_str(&format!("- `{name}}}`\n"));
