--- a/adapters/src/entry_http.rs
+++ b/adapters/src/entry_http.rs
@@ -22,6 +22,7 @@
 use crate::{
     bearer_guard::BearerGuard,
     border_types::{AnnounceAnswer, AnnounceBody, JobAnswer, JobAnswerState, SubmitBody},
+    entry_metrics::SubmissionPhase,
     http_server::{
         CloseConnection, HttpAnswer, HttpRequest, ServerLimits, error_answer, error_body,
         header_text, json_answer, read_body, set_error_headers, text_answer, value_answer,
@@ -167,6 +168,8 @@
         let inputs = parsed.tasks.iter().map(|it| raw_bytes(&it.input)).collect();
         let digest = body_digest("/v1/jobs", &body);
         let job = JobRequest { spec, inputs, digest, key_origin };
+        let parse_time = started.elapsed().as_secs_f64();
+        self.traffic.metrics().note_phase(SubmissionPhase::Parse, parse_time);
         let wants_async = header_text(&headers, "prefer") == Some("respond-async");
         let answer = self.run(job, if wants_async { AnswerMode::Async } else { AnswerMode::Whole });
         let (workspace, kind) = (parsed.workspace.clone(), parsed.tasks[0].kind.clone());
--- a/adapters/src/entry_metrics.rs
+++ b/adapters/src/entry_metrics.rs
@@ -42,6 +42,31 @@
     name: &'static str,
 }
 
+/// Bounds of the phase histograms, in seconds.
+const PHASE_BOUNDS: [f64; 12] =
+    [0.000_05, 0.000_1, 0.000_15, 0.000_2, 0.000_3, 0.000_5, 0.001, 0.002, 0.005, 0.02, 0.1, 1.0];
+
+/// A part of a submission's way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SubmissionPhase {
+    /// Reading and checking the body.
+    Parse,
+    /// Claiming the key in its home ledger.
+    Claim,
+    /// Recording the outcome in its home ledger.
+    Settle,
+}
+
+impl SubmissionPhase {
+    fn name(self) -> &'static str {
+        match self {
+            SubmissionPhase::Parse => "parse",
+            SubmissionPhase::Claim => "claim",
+            SubmissionPhase::Settle => "settle",
+        }
+    }
+}
+
 /// Labels of a gauge by ledger.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct GroupLabels {
@@ -52,12 +77,17 @@
     Histogram::new(TIME_BOUNDS)
 }
 
+fn phase_histogram() -> Histogram {
+    Histogram::new(PHASE_BOUNDS)
+}
+
 /// Metrics of an entry.
 pub struct EntryMetrics {
     registry: Registry,
     responses: Family<KindLabels, Histogram, fn() -> Histogram>,
     runs: Family<KindLabels, Histogram, fn() -> Histogram>,
     queues: Family<KindLabels, Histogram, fn() -> Histogram>,
+    phases: Family<NameLabels, Histogram, fn() -> Histogram>,
     errors: Family<ErrorLabels, Counter>,
     dispatch: Family<NameLabels, Gauge<f64, AtomicU64>>,
     control: Family<NameLabels, Gauge<f64, AtomicU64>>,
@@ -78,6 +108,7 @@
             responses,
             runs,
             queues,
+            phases: Family::new_with_constructor(phase_histogram as fn() -> Histogram),
             errors: Family::default(),
             dispatch: Family::default(),
             control: Family::default(),
@@ -98,6 +129,11 @@
             "Time of a task between its claim and its start",
             metrics.queues.clone(),
         );
+        registry.register(
+            "phase_seconds",
+            "Time of parts of a submission: parse, claim, settle",
+            metrics.phases.clone(),
+        );
         registry.register("errors", "Answers that are errors, by kind", metrics.errors.clone());
         registry.register("dispatch", "Counts of the dispatcher", metrics.dispatch.clone());
         registry.register("control", "Counts of the control thread", metrics.control.clone());
@@ -124,6 +160,11 @@
         self.runs.get_or_create(&labels).observe(run_seconds);
     }
 
+    /// Notes the time of a part of a submission.
+    pub fn note_phase(&self, phase: SubmissionPhase, seconds: f64) {
+        self.phases.get_or_create(&NameLabels { name: phase.name() }).observe(seconds);
+    }
+
     /// Notes an answer that is an error.
     pub fn note_error(&self, kind: ErrorKind) {
         self.errors.get_or_create(&ErrorLabels { kind: kind.answer().name }).inc();
--- a/adapters/src/job_traffic.rs
+++ b/adapters/src/job_traffic.rs
@@ -35,7 +35,7 @@
     border_types::{JobAnswer, JobAnswerState},
     endpoint_client::EndpointClient,
     entry_control::{ControlHandle, TrafficInput},
-    entry_metrics::{DispatcherView, EntryMetrics},
+    entry_metrics::{DispatcherView, EntryMetrics, SubmissionPhase},
     wall_clock::WallClock,
 };
 
@@ -278,7 +278,7 @@
             }
             match step {
                 SubmissionStep::Call(call, span_ms) => {
-                    let end = self.control.call(call, span_ms).await;
+                    let end = self.call(call, span_ms).await;
                     step = submission.on_call_end(end, self.clock.now());
                 }
                 SubmissionStep::Answer(result) => return JobStart::from(result),
@@ -294,6 +294,21 @@
         }
     }
 
+    /// Calls a ledger and notes the time of what every submission needs.
+    async fn call(&self, call: LedgerCall, span_ms: u64) -> CallEnd {
+        let phase = match &call {
+            LedgerCall::Claim(_) => Some(SubmissionPhase::Claim),
+            LedgerCall::Settle(..) => Some(SubmissionPhase::Settle),
+            LedgerCall::Probe(_) | LedgerCall::Await(_) => None,
+        };
+        let started = Instant::now();
+        let end = self.control.call(call, span_ms).await;
+        if let Some(phase) = phase {
+            self.metrics.note_phase(phase, started.elapsed().as_secs_f64());
+        }
+        end
+    }
+
     fn admit(&self, spec: &JobSpec) -> Result<(), RequestError> {
         self.control.check_ready()?;
         let kinds: Vec<KindName> = spec.tasks.iter().map(|it| it.kind.clone()).collect();
@@ -330,7 +345,7 @@
         loop {
             step = match step {
                 SubmissionStep::Call(call, span_ms) => {
-                    let end = self.control.call(call, span_ms).await;
+                    let end = self.call(call, span_ms).await;
                     submission.on_call_end(end, self.clock.now())
                 }
                 SubmissionStep::Dispatch => {
--- a/load/src/load_args.rs
+++ b/load/src/load_args.rs
@@ -23,6 +23,8 @@
     Run(RunCommand),
     Compare(CompareCommand),
     Demo(DemoCommand),
+    Way(WayCommand),
+    Announce(AnnounceCommand),
     FreePorts(FreePortsCommand),
     Post(PostCommand),
     Get(GetCommand),
@@ -118,6 +120,33 @@
     pub(crate) fastest: f64,
 }
 
+/// measure where the time of jobs of one task goes
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "way")]
+pub(crate) struct WayCommand {
+    /// entries' HTTP, IP:PORT, separated by commas
+    #[argh(option)]
+    pub(crate) entries: String,
+    /// number of jobs, one after the other (500)
+    #[argh(option, default = "500")]
+    pub(crate) jobs: usize,
+}
+
+/// announce endpoints that do not exist, and measure what they cost an entry
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "announce")]
+pub(crate) struct AnnounceCommand {
+    /// entries' HTTP, IP:PORT, separated by commas
+    #[argh(option)]
+    pub(crate) entries: String,
+    /// number of endpoints
+    #[argh(option)]
+    pub(crate) count: usize,
+    /// length, in seconds (15)
+    #[argh(option, default = "15")]
+    pub(crate) seconds: u64,
+}
+
 /// print free ports of loopback
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "free-ports")]
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,6 +1,7 @@
 //! `yuccamux-load`: open-loop load with the mixes of both users, histograms, checks of
 //! every answer, and the comparison of two runs. For trials only.
 
+mod announce_run;
 mod demo_run;
 mod job_mix;
 mod load_args;
@@ -8,6 +9,7 @@
 mod load_report;
 mod load_run;
 mod operator_race;
+mod way_run;
 
 use std::net::{TcpListener, UdpSocket};
 
@@ -22,6 +24,8 @@
         LoadCommand::Run(it) => runtime.block_on(load_run::run(&it)),
         LoadCommand::Compare(it) => load_report::compare(&it.before, &it.after),
         LoadCommand::Demo(it) => runtime.block_on(demo_run::run(&it)),
+        LoadCommand::Way(it) => runtime.block_on(way_run::run(&it)),
+        LoadCommand::Announce(it) => runtime.block_on(announce_run::run(&it)),
         LoadCommand::FreePorts(it) => free_ports(it.count),
         LoadCommand::Post(it) => runtime.block_on(load_client::post(&it)),
         LoadCommand::Get(it) => runtime.block_on(load_client::get(&it)),
--- a/standin/src/standin_endpoint.rs
+++ b/standin/src/standin_endpoint.rs
@@ -8,7 +8,7 @@
     io::Write,
     path::PathBuf,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -85,6 +85,8 @@
     job: &'a str,
     endpoint: &'a str,
     input: &'a RawValue,
+    /// Time from the start to the end of the work, in microseconds.
+    run_us: u64,
 }
 
 struct StandinState {
@@ -310,6 +312,7 @@
             | FaultMode::CloseAfter
             | FaultMode::AnswerLate => {}
         }
+        let started = Instant::now();
         tokio::select! {
             () = time::sleep(self.run_time(body)) => {}
             () = cancelled.notified() => return failed("cancelled"),
@@ -320,7 +323,8 @@
         let Ok(input) = serde_json::from_slice::<&RawValue>(body) else {
             return failed("the input is not JSON");
         };
-        let output = TaskOutput { task, job, endpoint: &self.settings.name, input };
+        let run_us = started.elapsed().as_micros() as u64;
+        let output = TaskOutput { task, job, endpoint: &self.settings.name, input, run_us };
         json_answer(StatusCode::OK, Bytes::from(serde_json::to_vec(&output).unwrap_or_default()))
     }
 
--- a/testutils/src/bin/capacity.rs
+++ b/testutils/src/bin/capacity.rs
@@ -114,6 +114,7 @@
         }
         time.take(n_jobs, started.elapsed().as_secs_f64() * 1000.0);
         memory.take(n_jobs, (resident_kb() - before_kb) / 1024.0);
+        let ledger = std::mem::ManuallyDrop::new(ledger);
         let started = Instant::now();
         let bytes = ledger.encode();
         snapshot_time.take(n_jobs, started.elapsed().as_secs_f64() * 1000.0);
@@ -150,7 +151,7 @@
 fn configured(n_workspaces: usize) -> ConfigState {
     let mut state = ConfigState::default();
     publish(&mut state, 0, TEMPLATE.to_owned());
-    let text: String = (0..n_workspaces).map(|it| workspace_text(it, 100)).collect();
+    let text: String = (0..n_workspaces).map(|it| workspace_text(it, 100_000)).collect();
     publish(&mut state, 1, text);
     state
 }
@@ -169,12 +170,13 @@
         }
         time.take(n_changes, started.elapsed().as_secs_f64() * 1000.0);
         memory.take(n_changes, (resident_kb() - before_kb) / 1024.0);
+        let state = std::mem::ManuallyDrop::new(state);
         let bytes = state.encode();
         snapshot.take(n_changes, bytes.len() as f64 / 1e6);
         let started = Instant::now();
         let decoded = ConfigState::decode(&bytes);
         restore.take(n_changes, started.elapsed().as_secs_f64() * 1000.0);
-        assert!(decoded.is_ok_and(|it| it == state), "a snapshot decodes to its state");
+        assert!(decoded.is_ok_and(|it| it == *state), "a snapshot decodes to its state");
     }
     [time, memory, snapshot, restore].iter().for_each(Slope::print);
 }
@@ -231,7 +233,8 @@
             compact_entries: 20_000,
             seed: 1,
         };
-        let mut node = EntryNode::new(settings, NOW);
+        // Memory that is freed would be used again and not be seen.
+        let mut node = std::mem::ManuallyDrop::new(EntryNode::new(settings, NOW));
         let records: Vec<EndpointRecord> = (0..n_endpoints).map(endpoint_record).collect();
         let n_seconds = 20;
         let mut n_bytes = 0;
@@ -301,7 +304,7 @@
                     }
                 }
                 // About two thirds of the slots stay in use.
-                if running.len() * 3 <= n_endpoints * 16 {
+                if running.len() * 3 <= n_endpoints * 16 && dispatcher.n_queued() == 0 {
                     break;
                 }
                 let Some((task, endpoint)) = running.pop_front() else { break };
