--- a/adapters/src/entry_control.rs
+++ b/adapters/src/entry_control.rs
@@ -30,7 +30,7 @@
 };
 
 /// Time between ticks.
-const TICK: Duration = Duration::from_millis(10);
+const TICK: Duration = Duration::from_millis(20);
 /// Inputs taken before effects are carried out.
 const MAX_INPUTS: usize = 4_096;
 
--- a/adapters/src/job_traffic.rs
+++ b/adapters/src/job_traffic.rs
@@ -41,8 +41,8 @@
 
 /// Time between the dispatcher's ticks.
 const TICK: Duration = Duration::from_millis(10);
-/// Time between reports of the load to other entries, in ticks.
-const LOAD_TICKS: u64 = 5;
+/// Ticks between those of an idle dispatcher, and between reports of its load.
+const IDLE_TICKS: u64 = 5;
 /// Time after a job's deadline for which its tasks are still waited for.
 const TASK_GRACE: Duration = Duration::from_secs(30);
 
@@ -178,8 +178,12 @@
 
     fn tick(self: &Arc<Self>, n_ticks: u64) {
         let now = self.clock.now();
+        let is_idle_turn = n_ticks.is_multiple_of(IDLE_TICKS);
+        if !is_idle_turn && self.lock().dispatcher.is_idle() {
+            return;
+        }
         self.update(|it| it.tick(now));
-        if n_ticks.is_multiple_of(LOAD_TICKS) {
+        if is_idle_turn {
             let load = self.lock().dispatcher.own_load(now);
             self.control.set_load(load);
         }
--- a/lib/src/job_dispatcher.rs
+++ b/lib/src/job_dispatcher.rs
@@ -169,6 +169,11 @@
         self.jobs.len()
     }
 
+    /// Whether no task waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.jobs.is_empty() && self.endpoints.values().all(|it| it.in_flight.is_empty())
+    }
+
     /// Tasks that wait.
     pub fn n_queued(&self) -> usize {
         self.queue.n_tasks()
