--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -5,10 +5,7 @@
 use anyhow::Context;
 use indexmap::IndexMap;
 use log::{error, info};
-use tokio::{
-    sync::{mpsc, oneshot},
-    time,
-};
+use tokio::sync::{mpsc, oneshot};
 use yuccamux::{
     config_state::{ChangeRecord, ConfigChange, ConfigImage},
     control_node::{ControlEffect, ControlNode, ControlSettings},
@@ -17,7 +14,7 @@
 };
 
 use crate::{
-    control_thread,
+    control_thread::{self, ThreadInbox, ThreadInput},
     link_key::LinkKeys,
     log_store::LogStore,
     peer_link::{LinkSockets, PeerInput, PeerLink},
@@ -26,8 +23,6 @@
 
 /// Time between ticks.
 const TICK: Duration = Duration::from_millis(20);
-/// Inputs taken before effects are carried out.
-const MAX_INPUTS: usize = 1_024;
 /// Time that a change may take, in ms.
 const CHANGE_MS: u64 = 5_000;
 
@@ -148,7 +143,7 @@
             next_call: 0,
         };
         async move {
-            if let Err(error) = host.run(inputs, peer_inputs).await {
+            if let Err(error) = host.run(ThreadInbox::new(inputs, peer_inputs, TICK)).await {
                 // Without its disk the replica must not go on.
                 error!("the control thread has stopped: {error:#}");
                 std::process::abort();
@@ -175,34 +170,19 @@
 }
 
 impl ServiceHost {
-    async fn run(
-        mut self,
-        mut inputs: mpsc::UnboundedReceiver<ServiceInput>,
-        mut peer_inputs: mpsc::UnboundedReceiver<PeerInput>,
-    ) -> anyhow::Result<()> {
-        let mut ticks = time::interval(TICK);
-        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
-        loop {
-            tokio::select! {
-                input = inputs.recv() => match input {
-                    Some(input) => self.take_service(input),
-                    None => return Ok(()),
-                },
-                Some(input) = peer_inputs.recv() => self.take_peer(input),
-                _ = ticks.tick() => self.node.tick(self.clock.now()),
-            }
-            for _ in 0..MAX_INPUTS {
-                if let Ok(input) = inputs.try_recv() {
-                    self.take_service(input);
-                } else if let Ok(input) = peer_inputs.try_recv() {
-                    self.take_peer(input);
-                } else {
-                    break;
+    async fn run(mut self, mut inbox: ThreadInbox<ServiceInput>) -> anyhow::Result<()> {
+        while let Some(inputs) = inbox.take().await {
+            for input in inputs {
+                match input {
+                    ThreadInput::Own(input) => self.take_service(input),
+                    ThreadInput::Peer(input) => self.take_peer(*input),
+                    ThreadInput::Tick => self.node.tick(self.clock.now()),
                 }
             }
             self.node.flush(self.clock.now());
             self.carry_out().context("could not store the configuration")?;
         }
+        Ok(())
     }
 
     fn take_service(&mut self, input: ServiceInput) {
--- a/adapters/src/entry_control.rs
+++ b/adapters/src/entry_control.rs
@@ -8,10 +8,7 @@
 
 use indexmap::IndexMap;
 use log::info;
-use tokio::{
-    sync::{mpsc, oneshot, watch},
-    time,
-};
+use tokio::sync::{mpsc, oneshot, watch};
 use yuccamux::{
     endpoint_table::{EndpointRecord, EndpointState},
     entry_node::{CallEnd, CallNumber, EntryEffect, EntryNode, EntrySettings, LedgerCall},
@@ -23,7 +20,7 @@
 };
 
 use crate::{
-    control_thread,
+    control_thread::{self, ThreadInbox, ThreadInput},
     link_key::LinkKeys,
     peer_link::{LinkSockets, PeerInput, PeerLink},
     wall_clock::WallClock,
@@ -31,8 +28,6 @@
 
 /// Time between ticks.
 const TICK: Duration = Duration::from_millis(20);
-/// Inputs taken before effects are carried out.
-const MAX_INPUTS: usize = 4_096;
 
 /// What traffic asks of the control thread.
 pub enum ControlInput {
@@ -199,7 +194,7 @@
             members: Vec::new(),
             n_overhead: 0,
         };
-        host.run(inputs, peer_inputs)
+        host.run(ThreadInbox::new(inputs, peer_inputs, TICK))
     })?;
     #[cfg(not(feature = "fault-injection"))]
     drop(link);
@@ -230,29 +225,13 @@
 }
 
 impl ControlHost {
-    async fn run(
-        mut self,
-        mut inputs: mpsc::UnboundedReceiver<ControlInput>,
-        mut peer_inputs: mpsc::UnboundedReceiver<PeerInput>,
-    ) {
-        let mut ticks = time::interval(TICK);
-        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Skip);
-        loop {
-            tokio::select! {
-                input = inputs.recv() => match input {
-                    Some(input) => self.take_control(input),
-                    None => return,
-                },
-                Some(input) = peer_inputs.recv() => self.take_peer(input),
-                _ = ticks.tick() => self.tick(),
-            }
-            for _ in 0..MAX_INPUTS {
-                if let Ok(input) = inputs.try_recv() {
-                    self.take_control(input);
-                } else if let Ok(input) = peer_inputs.try_recv() {
-                    self.take_peer(input);
-                } else {
-                    break;
+    async fn run(mut self, mut inbox: ThreadInbox<ControlInput>) {
+        while let Some(inputs) = inbox.take().await {
+            for input in inputs {
+                match input {
+                    ThreadInput::Own(input) => self.take_control(input),
+                    ThreadInput::Peer(input) => self.take_peer(*input),
+                    ThreadInput::Tick => self.tick(),
                 }
             }
             self.node.flush(self.clock.now());
--- a/adapters/tests/test_reference.rs
+++ b/adapters/tests/test_reference.rs
@@ -1,27 +1,11 @@
 //! The tables of the reference pages are made from the code.
 
-use std::{env, fs, path::Path};
-
 use yuccamux::{job_dispatcher::JobDispatcher, policy_settings::PolicySettings, prelude::*};
 use yuccamux_adapters::{
     entry_control::ControlStatus,
     entry_metrics::{DispatcherView, EntryMetrics},
 };
-
-/// Compares a page's part between two marks with `table`, or writes it.
-fn check_table(page: &str, table: &str) {
-    const BEGIN: &str = "<!-- made from the code: begin -->\n";
-    const END: &str = "<!-- made from the code: end -->\n";
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/reference").join(page);
-    let text = fs::read_to_string(&path).unwrap();
-    let (head, rest) = text.split_once(BEGIN).expect("the page has a begin mark");
-    let (found, tail) = rest.split_once(END).expect("the page has an end mark");
-    if env::var_os("YUCCAMUX_REGENERATE").is_some() {
-        fs::write(&path, format!("{head}{BEGIN}{table}{END}{tail}")).unwrap();
-        return;
-    }
-    assert_eq!(found, table, "{page} does not match the code");
-}
+use yuccamux_testutils::reference_page::check_table;
 
 #[test]
 fn error_table_matches_code() {
--- a/lib/src/dispatch_pass.rs
+++ b/lib/src/dispatch_pass.rs
@@ -59,7 +59,7 @@
                 n_reserved: 0,
             }
         });
-        let mut views = views.collect();
+        let mut views: Vec<SlotView> = views.collect();
         if self.policy.order == OrderRule::UrgencyFairNearest {
             self.reserve_slots(&mut views);
         }
@@ -67,7 +67,7 @@
     }
 
     /// Keeps free slots of the fastest endpoints for the most urgent class.
-    fn reserve_slots(&self, views: &mut Vec<SlotView>) {
+    fn reserve_slots(&self, views: &mut [SlotView]) {
         let mut n_left = self.reserve.n_slots();
         if n_left == 0 {
             return;
