--- a/lib/src/dispatch_leases.rs
+++ b/lib/src/dispatch_leases.rs
@@ -90,7 +90,7 @@
         self.recalled.insert(to.clone());
         let names: Vec<EndpointName> = self.endpoints.keys().cloned().collect();
         for name in &names {
-            self.return_recalled(name, now);
+            self.return_recalled(name);
         }
         if self.queue.n_tasks() != 0 {
             return;
@@ -121,7 +121,7 @@
     }
 
     /// Returns free borrowed slots of an endpoint to entries that asked for slots.
-    pub(crate) fn return_recalled(&mut self, endpoint: &EndpointName, _now: ClockTime) {
+    pub(crate) fn return_recalled(&mut self, endpoint: &EndpointName) {
         if self.recalled.is_empty() {
             return;
         }
--- a/lib/src/job_dispatcher.rs
+++ b/lib/src/job_dispatcher.rs
@@ -21,14 +21,14 @@
     prelude::*,
     quarantine_list::QuarantineList,
     retry_budget::RetryBudget,
-    run_estimates::RunEstimates,
+    run_estimates::{KindPath, RunEstimates},
     slot_leases::{self, LeaseMessage},
     urgent_reserve::UrgentReserve,
     workspace_template::{ResolvedConfig, UrgencyClass},
 };
 
-/// Ended jobs whose trace is kept.
-const MAX_KEPT_TRACES: usize = 2_000;
+/// Tasks of ended jobs whose trace is kept.
+const MAX_TRACED_TASKS: usize = 20_000;
 /// Time for which an endpoint that refused gets nothing more, in ms.
 const REFUSED_PAUSE_MS: u64 = 5;
 
@@ -112,6 +112,7 @@
     cancels: IndexMap<EndpointName, Vec<TaskId>>,
     parked: VecDeque<TaskRef>,
     traces: IndexMap<JobKey, JobTrace>,
+    n_traced_tasks: usize,
     pub(crate) asked_at: IndexMap<VmName, ClockTime>,
     pub(crate) recalled: IndexSet<VmName>,
     pub(crate) idle_since: ClockTime,
@@ -144,6 +145,7 @@
             cancels: IndexMap::new(),
             parked: VecDeque::new(),
             traces: IndexMap::new(),
+            n_traced_tasks: 0,
             asked_at: IndexMap::new(),
             recalled: IndexSet::new(),
             idle_since: ClockTime::default(),
@@ -327,15 +329,11 @@
         if self.jobs.contains_key(&task.job) {
             self.take_report(task, endpoint, report, now);
         }
-        self.return_recalled(endpoint, now);
+        self.return_recalled(endpoint);
         self.dispatch(now);
     }
 
-    fn free_slot(
-        &mut self,
-        task: TaskRef,
-        endpoint: &EndpointName,
-    ) -> Option<crate::run_estimates::KindPath> {
+    fn free_slot(&mut self, task: TaskRef, endpoint: &EndpointName) -> Option<KindPath> {
         let slots = self.endpoints.get_mut(endpoint)?;
         let flight = slots.in_flight.swap_remove(&task)?;
         if let Some(n_slots) = self.usage.get_mut(&flight.kind.0) {
@@ -479,12 +477,19 @@
             Ok(_) => "complete".to_owned(),
             Err(error) => error.to_string(),
         };
+        self.keep_trace(trace);
+        self.effects.push(DispatchEffect::Finish(number, result));
+    }
+
+    fn keep_trace(&mut self, trace: JobTrace) {
+        self.n_traced_tasks += trace.tasks.len();
         self.traces.insert(trace.key.clone(), trace);
-        if MAX_KEPT_TRACES < self.traces.len() {
+        if MAX_TRACED_TASKS < self.n_traced_tasks {
             // Drops the older half at once, so that the cost is spread over many jobs.
-            self.traces.drain(..MAX_KEPT_TRACES / 2);
+            let n_dropped = self.traces.len().div_ceil(2);
+            self.traces.drain(..n_dropped);
+            self.n_traced_tasks = self.traces.values().map(|it| it.tasks.len()).sum();
         }
-        self.effects.push(DispatchEffect::Finish(number, result));
     }
 
     /// Lets time pass: deadlines, stalls, returns of slots and batched cancels.
--- a/lib/tests/test_job_dispatcher.rs
+++ b/lib/tests/test_job_dispatcher.rs
@@ -326,6 +326,23 @@
     assert_eq!(error.kind, ErrorKind::Overloaded);
 }
 
+#[test]
+fn trace_tells_where_tasks_went_and_is_bounded() {
+    let mut bench = Bench::new(&[("e", 300)]);
+    bench.submit(1, RepeatRule::AtMostOnce);
+    bench.report(0, done("x"));
+    let trace = bench.dispatcher.trace(&key_at(START, 1)).unwrap();
+    assert_eq!(trace.outcome, "complete");
+    assert_eq!(trace.tasks[0].endpoint, Some(EndpointName::from("e")));
+    for _ in 0..100 {
+        let first = bench.starts.len();
+        bench.submit(300, RepeatRule::AtMostOnce);
+        (first..first + 300).for_each(|it| bench.report(it, done("x")));
+    }
+    assert!(bench.dispatcher.trace(&key_at(START, 1)).is_none());
+    assert!(bench.dispatcher.trace(&key_at(START, 101)).is_some());
+}
+
 #[test]
 fn shares_add_up_and_free_slots_are_lent() {
     let mut lhs = Bench::new(&[("e", 8)]);
