lib: news of endpoints in parts that fit a datagram

Cause: 1,000 whole announcements, with the short names of the test, make one datagram of 33.9 KB: 24 packets of which none may be lost; with longer names and kinds it passes the 65 KB that UDP carries, and the sender would still take them for sent. The test of 1,000 endpoints fails when a part is as large as the news, and passes with parts of 12.

--- a/lib/src/endpoint_table.rs
+++ b/lib/src/endpoint_table.rs
@@ -78,6 +78,28 @@
     pub wanted: Vec<u64>,
 }
 
+/// Whole announcements in a datagram, which then stays near the size of a packet.
+const MAX_WHOLE: usize = 12;
+/// Digests in a datagram.
+const MAX_DIGESTS: usize = 100;
+
+impl EndpointNews {
+    /// The same news in parts that each fit a datagram; none when there is no news.
+    pub fn into_parts(self) -> Vec<EndpointNews> {
+        let mut parts = Vec::new();
+        for whole in self.whole.chunks(MAX_WHOLE) {
+            parts.push(EndpointNews { whole: whole.to_vec(), ..EndpointNews::default() });
+        }
+        for fresh in self.fresh.chunks(MAX_DIGESTS) {
+            parts.push(EndpointNews { fresh: fresh.to_vec(), ..EndpointNews::default() });
+        }
+        for wanted in self.wanted.chunks(MAX_DIGESTS) {
+            parts.push(EndpointNews { wanted: wanted.to_vec(), ..EndpointNews::default() });
+        }
+        parts
+    }
+}
+
 /// The endpoints of a data centre.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -443,8 +443,9 @@
                 self.peers.take(heartbeat, now);
             }
             PeerDatagram::News(news) => {
-                if let Some(answer) = self.endpoints.learn(news, now) {
-                    let datagram = PeerDatagram::News(answer);
+                let answer = self.endpoints.learn(news, now).unwrap_or_default();
+                for part in answer.into_parts() {
+                    let datagram = PeerDatagram::News(part);
                     self.effects.push(EntryEffect::SendDatagram(from.clone(), datagram));
                 }
             }
@@ -592,13 +593,12 @@
 
     fn send_news(&mut self, now: ClockTime) {
         let news = self.endpoints.take_news(now, NEAR_HEARTBEAT_MS);
-        if news.whole.is_empty() && news.fresh.is_empty() {
-            return;
-        }
-        for vm in self.settings.layout.entries_in(&self.centre) {
-            if vm != self.settings.owner.vm {
-                let datagram = PeerDatagram::News(news.clone());
-                self.effects.push(EntryEffect::SendDatagram(vm, datagram));
+        for part in news.into_parts() {
+            for vm in self.settings.layout.entries_in(&self.centre) {
+                if vm != self.settings.owner.vm {
+                    let datagram = PeerDatagram::News(part.clone());
+                    self.effects.push(EntryEffect::SendDatagram(vm, datagram));
+                }
             }
         }
     }
--- /dev/null
+++ b/lib/tests/test_endpoint_table.rs
@@ -0,0 +1,98 @@
+//! What entries know of endpoints, and what they tell each other.
+
+use yuccamux::{
+    endpoint_table::{EndpointNews, EndpointRecord, EndpointTable},
+    prelude::*,
+};
+
+const NOW: ClockTime = ClockTime(1_000_000);
+
+fn record(incarnation: u64, leaving: bool) -> EndpointRecord {
+    EndpointRecord {
+        name: EndpointName::from("e"),
+        address: "127.0.0.1:1".to_owned(),
+        incarnation,
+        slots: 8,
+        connections: 60,
+        kinds: Vec::new(),
+        worker: String::new(),
+        rack: String::new(),
+        processors: 1,
+        memory_mb: 1,
+        leaving,
+    }
+}
+
+fn known(table: &EndpointTable) -> (u64, bool, ClockTime) {
+    let state = table.endpoints().next().expect("one endpoint is known");
+    (state.record.incarnation, state.record.leaving, state.heard_at)
+}
+
+#[test]
+fn leaving_is_final_for_a_life() {
+    let mut table = EndpointTable::new();
+    table.announce(record(1, false), NOW);
+    table.announce(record(1, true), NOW.plus_ms(10));
+    // An announcement that was overtaken.
+    table.announce(record(1, false), NOW.plus_ms(20));
+    assert_eq!(known(&table), (1, true, NOW.plus_ms(10)));
+    table.announce(record(2, false), NOW.plus_ms(30));
+    assert_eq!(known(&table), (2, false, NOW.plus_ms(30)));
+    table.announce(record(1, false), NOW.plus_ms(40));
+    assert_eq!(known(&table), (2, false, NOW.plus_ms(30)));
+}
+
+#[test]
+fn news_is_whole_once_and_short_after_that() {
+    let mut table = EndpointTable::new();
+    table.announce(record(1, false), NOW);
+    let news = table.take_news(NOW.plus_ms(10), 200);
+    assert_eq!((news.whole.len(), news.fresh.len()), (1, 0));
+    table.announce(record(1, false), NOW.plus_ms(1_000));
+    let news = table.take_news(NOW.plus_ms(1_010), 200);
+    assert_eq!((news.whole.len(), news.fresh.len()), (0, 1));
+    table.announce(record(1, true), NOW.plus_ms(2_000));
+    let news = table.take_news(NOW.plus_ms(2_010), 200);
+    assert_eq!((news.whole.len(), news.fresh.len()), (1, 0));
+}
+
+#[test]
+fn digest_that_is_not_known_is_asked_for() {
+    let (mut lhs, mut rhs) = (EndpointTable::new(), EndpointTable::new());
+    lhs.announce(record(1, false), NOW);
+    // The whole announcement is lost.
+    lhs.take_news(NOW, 200);
+    lhs.announce(record(1, false), NOW.plus_ms(1_000));
+    let digest = lhs.take_news(NOW.plus_ms(1_000), 200);
+    let wanted = rhs.learn(digest, NOW.plus_ms(1_001)).expect("rhs asks");
+    assert_eq!(wanted.wanted.len(), 1);
+    let answer = lhs.learn(wanted, NOW.plus_ms(1_002)).expect("lhs answers");
+    assert_eq!(rhs.learn(answer, NOW.plus_ms(1_003)), None);
+    assert_eq!(known(&rhs), (1, false, NOW.plus_ms(1_003)));
+}
+
+#[test]
+fn digest_keeps_an_endpoint_fresh_from_when_it_was_heard() {
+    let mut table = EndpointTable::new();
+    table.announce(record(1, false), NOW);
+    let digest = record(1, false).digest();
+    let news = EndpointNews { fresh: vec![(digest, 150)], ..EndpointNews::default() };
+    table.learn(news, NOW.plus_ms(2_000));
+    assert_eq!(known(&table).2, NOW.plus_ms(1_850));
+}
+
+#[test]
+fn news_of_many_endpoints_fits_datagrams_and_loses_nothing() {
+    let mut lhs = EndpointTable::new();
+    for number in 0..1_000 {
+        let name = EndpointName(format!("endpoint-{number}"));
+        lhs.announce(EndpointRecord { name, ..record(1, false) }, NOW);
+    }
+    let mut rhs = EndpointTable::new();
+    for part in lhs.take_news(NOW, 200).into_parts() {
+        let n_bytes = postcard::to_stdvec(&part).unwrap().len();
+        assert!(n_bytes <= 1_400, "{n_bytes} bytes do not fit a packet");
+        rhs.learn(part, NOW);
+    }
+    assert_eq!(rhs.endpoints().count(), 1_000);
+}
