lib: a configuration delta names the version from which it starts

Cause: after a restart, an entry was sent what its former life lacked, as the leader went by the version of an old heartbeat. The entry took those documents, took the new version for its own and never got the rest. Ruled out: entries that take work without a configuration, mended before, which had looked like the cause. Change: a delta carries its start; an entry that is behind it asks again from its own version. The load generator takes "unknown" for a published kind as a violation.

--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -107,18 +107,43 @@
     pub documents: IndexMap<DocumentName, ConfigDocument>,
 }
 
+/// What changed from one version to another.
+#[derive(Data!)]
+pub struct ConfigDelta {
+    /// Version from which it starts.
+    pub since: u64,
+    /// The version that it leads to, with the documents that changed after `since`.
+    pub changed: ConfigImage,
+}
+
+/// What became of a delta.
+#[derive(Data!, Copy)]
+pub enum MergeOutcome {
+    /// The image is at the delta's version.
+    Merged,
+    /// The image was at that version or a later one.
+    Known,
+    /// The delta starts after the image's version: documents in between are missing.
+    Gap,
+}
+
 impl ConfigImage {
-    /// The documents that changed after `version`.
-    pub fn since(&self, version: u64) -> ConfigImage {
+    /// What changed after `version`.
+    pub fn since(&self, version: u64) -> ConfigDelta {
         let changed = self.documents.iter().filter(|(_, it)| version < it.version);
         let documents = changed.map(|(name, it)| (name.clone(), it.clone())).collect();
-        ConfigImage { version: self.version, documents }
+        let changed = ConfigImage { version: self.version, documents };
+        ConfigDelta { since: version, changed }
     }
 
-    /// Takes documents that changed; older ones are left aside.
-    pub fn merge(&mut self, changed: ConfigImage) {
+    /// Takes what changed; older documents are left aside.
+    pub fn merge(&mut self, delta: ConfigDelta) -> MergeOutcome {
+        let ConfigDelta { since, changed } = delta;
         if changed.version <= self.version {
-            return;
+            return MergeOutcome::Known;
+        }
+        if self.version < since {
+            return MergeOutcome::Gap;
         }
         self.version = changed.version;
         for (name, document) in changed.documents {
@@ -127,6 +152,7 @@
                 self.documents.insert(name, document);
             }
         }
+        MergeOutcome::Merged
     }
 
     /// Names of the drained endpoints.
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -7,7 +7,9 @@
 use indexmap::IndexMap;
 
 use crate::{
-    config_state::{ConfigAnswer, ConfigCommand, ConfigImage, FoundingRank},
+    config_state::{
+        ConfigAnswer, ConfigCommand, ConfigDelta, ConfigImage, FoundingRank, MergeOutcome,
+    },
     endpoint_table::{EndpointRecord, EndpointTable},
     job_dispatcher::PeerLoad,
     job_ledger::{JobClaim, JobOutcome, LedgerAnswer, LedgerCommand, LedgerLimits, OwnerId},
@@ -216,6 +218,11 @@
         &self.endpoints
     }
 
+    /// The documents in force.
+    pub fn image(&self) -> &ConfigImage {
+        &self.image
+    }
+
     /// Configuration version in force.
     pub fn config_version(&self) -> u64 {
         self.image.version
@@ -378,21 +385,26 @@
             }
             PeerMessage::ConfigPull(version) => {
                 if version < self.image.version {
-                    let changed = self.image.since(version);
-                    let message = PeerMessage::ConfigPush(changed);
+                    let message = PeerMessage::ConfigPush(self.image.since(version));
                     self.effects.push(EntryEffect::Send(from.clone(), message));
                 }
             }
-            PeerMessage::ConfigPush(changed) => self.take_config(changed),
+            PeerMessage::ConfigPush(delta) => self.take_config(from, delta),
         }
     }
 
-    fn take_config(&mut self, changed: ConfigImage) {
-        if changed.version <= self.image.version {
-            return;
-        }
+    fn take_config(&mut self, from: &VmName, delta: ConfigDelta) {
         let former_version = self.image.version;
-        self.image.merge(changed);
+        match self.image.merge(delta) {
+            MergeOutcome::Known => return,
+            MergeOutcome::Gap => {
+                // The sender has gone by what a former life of this VM had.
+                let message = PeerMessage::ConfigPull(former_version);
+                self.effects.push(EntryEffect::Send(from.clone(), message));
+                return;
+            }
+            MergeOutcome::Merged => {}
+        }
         check_invariant(Invariant::ConfigNeverReverts, former_version < self.image.version);
         // The control group accepts no change that does not resolve.
         if let Ok(config) = workspace_template::resolve(&self.image) {
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -1,7 +1,7 @@
 //! Messages between the system's own processes.
 
 use crate::{
-    config_state::ConfigImage, endpoint_table::EndpointNews, job_ledger::JobOutcome,
+    config_state::ConfigDelta, endpoint_table::EndpointNews, job_ledger::JobOutcome,
     log_group::ProposalAnswer, peer_table::PeerHeartbeat, prelude::*,
     replica_message::ReplicaMessage, slot_leases::LeaseMessage,
 };
@@ -25,8 +25,8 @@
     Lease(LeaseMessage),
     /// The sender has this configuration version.
     ConfigPull(u64),
-    /// Documents that changed since the version that the receiver named.
-    ConfigPush(ConfigImage),
+    /// What changed since a version that the sender takes the receiver to have.
+    ConfigPush(ConfigDelta),
 }
 
 impl PeerMessage {
--- a/lib/tests/test_config_state.rs
+++ b/lib/tests/test_config_state.rs
@@ -4,7 +4,7 @@
 use yuccamux::{
     config_state::{
         ChangeAction, ConfigAnswer, ConfigChange, ConfigCommand, ConfigImage, ConfigState,
-        FoundingRank,
+        FoundingRank, MergeOutcome,
     },
     prelude::*,
     workspace_template,
@@ -78,11 +78,25 @@
         let mut behind = image.clone();
         behind.merge(state.image().since(image.version));
         assert_eq!(&behind, state.image());
-        behind.merge(ConfigImage { version: 3, ..images[3].clone() });
+        assert_eq!(behind.merge(images[3].since(0)), MergeOutcome::Known);
         assert_eq!(&behind, state.image());
     }
 }
 
+#[test]
+fn delta_from_a_later_version_leaves_a_gap_and_is_not_taken() {
+    let mut state = ConfigState::default();
+    send(&mut state, publish("a", 0, FILE)).unwrap();
+    let team = "[workspace.x]\ntemplate = \"t\"\n";
+    send(&mut state, publish("b", 1, team)).unwrap();
+    // A VM that has restarted is sent what its former life lacked.
+    let mut image = ConfigImage::default();
+    assert_eq!(image.merge(state.image().since(1)), MergeOutcome::Gap);
+    assert_eq!(image, ConfigImage::default());
+    assert_eq!(image.merge(state.image().since(0)), MergeOutcome::Merged);
+    assert_eq!(&image, state.image());
+}
+
 #[test]
 fn founding_is_first_only_once_for_each_data_centre() {
     let mut state = ConfigState::default();
--- a/load/src/load_run.rs
+++ b/load/src/load_run.rs
@@ -272,6 +272,9 @@
             refusals.saturating_record(micros.max(1));
         }
         report.violations.extend(end.violation.clone());
+        if end.end.starts_with("unknown_") {
+            report.violations.push(format!("job {} of a published kind: {}", end.key, end.end));
+        }
     }
     times.sort_keys();
     report.kinds = times.iter().map(|(name, it)| (name.clone(), KindReport::new(it))).collect();
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -145,7 +145,7 @@
     pub(crate) accepted_at: Vec<(ClockTime, u64)>,
     pub(crate) whole_since: ClockTime,
     pub(crate) started_at: IndexMap<VmName, ClockTime>,
-    pub(crate) accepted_bases: IndexMap<u64, String>,
+    pub(crate) accepted_bases: IndexMap<(u64, String), String>,
     pub(crate) quiet_from: ClockTime,
     pub(crate) faults: FaultCounts,
     pub(crate) record: WorldRecord,
--- a/testutils/src/world_callers.rs
+++ b/testutils/src/world_callers.rs
@@ -83,15 +83,22 @@
         self.at(wait_ms, WorldEvent::Change);
         let newest = self.controls.values().map(|it| it.node.state().image().version).max();
         let base_version = newest.unwrap_or_default();
+        let teams = [None, Some(1), Some(2), Some(3)];
+        let team = teams.choose(&mut self.rng).copied().flatten().filter(|_| 0 < base_version);
         // Two operators often race from one base version.
         let n_rivals = if self.rng.random_bool(0.4) { 2 } else { 1 };
         for _ in 0..n_rivals {
             self.next_change += 1;
             let quota = 1_000 + self.next_change;
-            let text = format!(
-                "[template.t.kinds.task]\nexpected_ms = 50\n\
-                 [workspace.work]\ntemplate = \"t\"\nquota_slots = {quota}\n"
-            );
+            let text = match team {
+                None => format!(
+                    "[template.t.kinds.task]\nexpected_ms = 50\n\
+                     [workspace.work]\ntemplate = \"t\"\nquota_slots = {quota}\n"
+                ),
+                Some(team) => {
+                    format!("[workspace.team-{team}]\ntemplate = \"t\"\nquota_slots = {quota}\n")
+                }
+            };
             let change_id = format!("change-{}", self.next_change);
             let action = ChangeAction::Publish(text);
             self.send_change(ConfigChange { change_id, base_version, action });
@@ -123,7 +130,7 @@
         let Some(change) = self.changes.swap_remove(&(vm.clone(), call)) else { return };
         if let Ok(version) = &result {
             self.accepted_at.push((self.now, *version));
-            let first = self.accepted_bases.entry(change.base_version);
+            let first = self.accepted_bases.entry((change.base_version, touched(&change)));
             let first = first.or_insert_with(|| change.change_id.clone());
             if *first != change.change_id {
                 let text = format!(
@@ -141,3 +148,10 @@
         }
     }
 }
+
+/// The workspace that a change of this world touches.
+fn touched(change: &ConfigChange) -> String {
+    let ChangeAction::Publish(text) = &change.action else { return String::new() };
+    let workspace = text.split("[workspace.").nth(1).and_then(|it| it.split(']').next());
+    workspace.unwrap_or_default().to_owned()
+}
--- a/testutils/src/world_checks.rs
+++ b/testutils/src/world_checks.rs
@@ -37,6 +37,7 @@
             }
         }
         self.check_changes();
+        self.check_images();
         self.check_groups();
         self.record.check_end();
     }
@@ -60,6 +61,21 @@
         }
     }
 
+    /// Every entry holds the documents that the control VMs hold.
+    fn check_images(&mut self) {
+        let Some(control) = self.controls.values().max_by_key(|it| it.node.state().image().version)
+        else {
+            return;
+        };
+        for (vm, entry) in &self.entries {
+            if entry.node.image() != control.node.state().image() {
+                let text =
+                    format!("{vm} does not hold the documents of the control VMs at the end");
+                self.record.violations.push(text);
+            }
+        }
+    }
+
     /// Every ledger serves again, with no job left running.
     pub(crate) fn check_groups(&mut self) {
         for (vm, entry) in &self.entries {
