--- a/adapters/src/job_traffic.rs
+++ b/adapters/src/job_traffic.rs
@@ -213,7 +213,7 @@
     fn carry_out(self: &Arc<Self>, mut state: MutexGuard<'_, TrafficState>) {
         for effect in state.dispatcher.take_effects() {
             match effect {
-                DispatchEffect::Start { task, id, endpoint, address, connections: _ } => {
+                DispatchEffect::Start { task, id, endpoint, address } => {
                     let Some(job) = state.active.get(&task.job) else { continue };
                     let Some(request) = task_request(job, task, id, &address) else { continue };
                     let left_ms = job.deadline.since_ms(self.clock.now());
--- a/lib/src/dispatch_pass.rs
+++ b/lib/src/dispatch_pass.rs
@@ -28,6 +28,16 @@
     n_reserved: u32,
 }
 
+impl SlotView {
+    /// Free slots that a task of a class may take.
+    fn n_free_for(&self, urgency: UrgencyClass) -> u32 {
+        match urgency {
+            UrgencyClass::High => self.n_free,
+            UrgencyClass::Normal | UrgencyClass::Low => self.n_free.saturating_sub(self.n_reserved),
+        }
+    }
+}
+
 impl JobDispatcher {
     /// Hands out the tasks that should start now.
     pub(crate) fn dispatch(&mut self, now: ClockTime) {
@@ -147,7 +157,7 @@
 
     fn candidates(&self, path: &KindPath, views: &[SlotView]) -> Vec<PlacementCandidate> {
         let spec = self.config.kind(path.0.as_str(), path.1.as_str()).ok();
-        let is_urgent = spec.is_some_and(|it| it.urgency == UrgencyClass::High);
+        let urgency = spec.map_or(UrgencyClass::Normal, |it| it.urgency);
         let allowed = self.endpoints.iter().enumerate().filter(|(idx, (name, slots))| {
             0 < views[*idx].n_slots
                 && slots.serves(&path.1)
@@ -157,10 +167,7 @@
             idx,
             run_ms: self.estimates.run_ms(path, name),
             n_slots: views[idx].n_slots,
-            n_free: match is_urgent {
-                true => views[idx].n_free,
-                false => views[idx].n_free.saturating_sub(views[idx].n_reserved),
-            },
+            n_free: views[idx].n_free_for(urgency),
             n_outstanding: views[idx].n_outstanding,
         });
         candidates.collect()
@@ -216,8 +223,7 @@
         let flight = FlightRecord { kind: path.clone(), urgency, started_at: now, expected_ms };
         slots.in_flight.insert(task, flight);
         let address = slots.record.address.clone();
-        let connections = slots.record.connections;
-        self.effects.push(DispatchEffect::Start { task, id, endpoint: name, address, connections });
+        self.effects.push(DispatchEffect::Start { task, id, endpoint: name, address });
     }
 
     fn traced_options(
--- a/lib/src/endpoint_table.rs
+++ b/lib/src/endpoint_table.rs
@@ -126,11 +126,9 @@
 
     /// Takes an announcement made to this entry.
     pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) {
-        let name = record.name.clone();
         if let Some(state) = self.upsert(record, now) {
             state.announced_at = Some(now);
         }
-        debug_assert!(self.endpoints.contains_key(&name));
     }
 
     /// Takes what another entry tells; returns the answer it asked for, if any.
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -319,7 +319,7 @@
         span_ms: u64,
         now: ClockTime,
     ) {
-        let vms = self.group_vms.get(group).map_or(&[][..], Vec::as_slice);
+        let vms = vms_of(&self.group_vms, group);
         let deadline = now.plus_ms(span_ms);
         let (request_number, send) = self.client.begin(group, request, vms, deadline, now);
         self.purposes.insert(request_number, purpose);
@@ -487,8 +487,7 @@
 
     fn tick_client(&mut self, now: ClockTime) {
         let group_vms = &self.group_vms;
-        let vms_of = |group: &GroupName| group_vms.get(group).map_or(&[][..], Vec::as_slice);
-        let (sends, expired) = self.client.tick(vms_of, now);
+        let (sends, expired) = self.client.tick(|group| vms_of(group_vms, group), now);
         self.send_requests(sends, now);
         for request in expired {
             if let Some(RequestPurpose::Call(number)) = self.purposes.swap_remove(&request) {
@@ -647,6 +646,10 @@
     LedgerGroup::new(node, settings.limits, settings.compact_entries)
 }
 
+fn vms_of<'a>(group_vms: &'a IndexMap<GroupName, Vec<VmName>>, group: &GroupName) -> &'a [VmName] {
+    group_vms.get(group).map_or(&[], Vec::as_slice)
+}
+
 fn ledger_request(command: LedgerCommand) -> GroupRequest {
     GroupRequest::Propose(postcard::to_stdvec(&command).unwrap_or_default())
 }
--- a/lib/src/job_dispatcher.rs
+++ b/lib/src/job_dispatcher.rs
@@ -45,8 +45,6 @@
         endpoint: EndpointName,
         /// Its host and port.
         address: String,
-        /// Connections that it takes.
-        connections: u32,
     },
     /// Answer a job: its outputs in order, or why there are none.
     Finish(JobNumber, Result<Vec<Bytes>, RequestError>),
--- a/lib/src/job_ledger.rs
+++ b/lib/src/job_ledger.rs
@@ -381,7 +381,7 @@
                 let message = "the key was made before the ledger's last restart";
                 return Err(RequestError::new(ErrorKind::KeyTooOld, message));
             }
-            Some(minted_at) if self.horizon_ms() < self.clock.since_ms(minted_at) => {
+            Some(minted_at) if self.limits.horizon_ms < self.clock.since_ms(minted_at) => {
                 let message = "the key is older than the resubmission horizon";
                 return Err(RequestError::new(ErrorKind::KeyTooOld, message));
             }
@@ -400,10 +400,6 @@
         Ok(())
     }
 
-    fn horizon_ms(&self) -> u64 {
-        self.limits.horizon_ms
-    }
-
     /// Forgets ended jobs whose keys are refused by their age.
     fn forget_old(&mut self) {
         let oldest = self.clock.minus_ms(self.limits.horizon_ms);
