--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -7,18 +7,17 @@
 use indexmap::IndexMap;
 
 use crate::{
-    config_state::{
-        ConfigAnswer, ConfigCommand, ConfigDelta, ConfigImage, FoundingRank, MergeOutcome,
-    },
+    config_state::{ConfigDelta, ConfigImage, MergeOutcome},
     endpoint_table::{EndpointRecord, EndpointTable},
+    entry_requests::RequestPurpose,
     job_dispatcher::PeerLoad,
-    job_ledger::{JobClaim, JobOutcome, LedgerAnswer, LedgerCommand, LedgerLimits, OwnerId},
+    job_ledger::{JobClaim, JobOutcome, LedgerAnswer, LedgerLimits, OwnerId},
     ledger_group::{LedgerEffect, LedgerGroup},
-    log_group::{ProposalAnswer, ProposalWaiter},
+    log_group::ProposalWaiter,
     peer_message::{PeerDatagram, PeerMessage},
-    peer_table::{PeerHeartbeat, PeerTable},
+    peer_table::PeerTable,
     prelude::*,
-    proposal_client::{GroupRequest, ProposalClient, RequestEnd, RequestSend},
+    proposal_client::{GroupRequest, ProposalClient},
     replica_node::{FoundingRule, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule},
     slot_leases::LeaseMessage,
     vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
@@ -26,9 +25,7 @@
 };
 
 /// Time between heartbeats within a data centre, in ms.
-const NEAR_HEARTBEAT_MS: u64 = 200;
-/// Heartbeats within a data centre for each one to other data centres.
-const FAR_HEARTBEAT_EVERY: u64 = 5;
+pub(crate) const NEAR_HEARTBEAT_MS: u64 = 200;
 /// Time between comparisons of configuration versions, in ms.
 const CONFIG_PULL_MS: u64 = 1_000;
 /// Time between comparisons of configuration versions before the first work, in ms.
@@ -75,7 +72,7 @@
 }
 
 impl LedgerCall {
-    fn key(&self) -> &JobKey {
+    pub(crate) fn key(&self) -> &JobKey {
         match self {
             LedgerCall::Claim(claim) | LedgerCall::Settle(claim, _) => &claim.key,
             LedgerCall::Probe(key) | LedgerCall::Await(key) => key,
@@ -117,34 +114,27 @@
     Reborn(GroupName, ReplicaId),
 }
 
-/// Why a request of this VM was sent.
-#[derive(Clone, Debug)]
-enum RequestPurpose {
-    Call(CallNumber),
-    Founding(GroupName, GenerationId),
-}
-
 /// The control state of an entry.
 pub struct EntryNode {
-    settings: EntrySettings,
-    centre: DataCentre,
-    centres: Vec<DataCentre>,
-    group_vms: IndexMap<GroupName, Vec<VmName>>,
-    ledgers: IndexMap<GroupName, LedgerGroup>,
-    client: ProposalClient,
-    purposes: IndexMap<u64, RequestPurpose>,
-    founding_noted: IndexMap<GroupName, GenerationId>,
-    peers: PeerTable,
-    endpoints: EndpointTable,
-    image: ConfigImage,
-    load: PeerLoad,
-    stopping: bool,
-    was_ready: bool,
-    started_at: ClockTime,
-    heartbeat_at: ClockTime,
-    n_heartbeats: u64,
-    pulled_at: ClockTime,
-    effects: Vec<EntryEffect>,
+    pub(crate) settings: EntrySettings,
+    pub(crate) centre: DataCentre,
+    pub(crate) centres: Vec<DataCentre>,
+    pub(crate) group_vms: IndexMap<GroupName, Vec<VmName>>,
+    pub(crate) ledgers: IndexMap<GroupName, LedgerGroup>,
+    pub(crate) client: ProposalClient,
+    pub(crate) purposes: IndexMap<u64, RequestPurpose>,
+    pub(crate) founding_noted: IndexMap<GroupName, GenerationId>,
+    pub(crate) peers: PeerTable,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) image: ConfigImage,
+    pub(crate) load: PeerLoad,
+    pub(crate) stopping: bool,
+    pub(crate) was_ready: bool,
+    pub(crate) started_at: ClockTime,
+    pub(crate) heartbeat_at: ClockTime,
+    pub(crate) n_heartbeats: u64,
+    pub(crate) pulled_at: ClockTime,
+    pub(crate) effects: Vec<EntryEffect>,
 }
 
 impl EntryNode {
@@ -293,73 +283,6 @@
         is_drained
     }
 
-    /// Begins a call to the ledger of its key's home.
-    pub fn call(&mut self, number: CallNumber, call: LedgerCall, span_ms: u64, now: ClockTime) {
-        let Some(home) = call.key().home(&self.centres) else {
-            self.effects.push(EntryEffect::EndCall(number, CallEnd::Unreachable));
-            return;
-        };
-        let group = GroupName::from(home.as_str());
-        let request = match call {
-            LedgerCall::Claim(claim) => ledger_request(LedgerCommand::Claim(claim)),
-            LedgerCall::Settle(claim, outcome) => {
-                ledger_request(LedgerCommand::Settle(claim, outcome))
-            }
-            LedgerCall::Probe(key) => ledger_request(LedgerCommand::Probe(key)),
-            LedgerCall::Await(key) => GroupRequest::Await(key),
-        };
-        self.begin_request(&group, request, RequestPurpose::Call(number), span_ms, now);
-    }
-
-    fn begin_request(
-        &mut self,
-        group: &GroupName,
-        request: GroupRequest,
-        purpose: RequestPurpose,
-        span_ms: u64,
-        now: ClockTime,
-    ) {
-        let vms = vms_of(&self.group_vms, group);
-        let deadline = now.plus_ms(span_ms);
-        let (request_number, send) = self.client.begin(group, request, vms, deadline, now);
-        self.purposes.insert(request_number, purpose);
-        self.send_requests(send, now);
-    }
-
-    fn send_requests(&mut self, sends: impl IntoIterator<Item = RequestSend>, now: ClockTime) {
-        for (vm, group, number, request) in sends {
-            let waiter = ProposalWaiter { vm: self.settings.owner.vm.clone(), request: number };
-            if vm == waiter.vm {
-                self.take_request(&group, waiter, request, now);
-                continue;
-            }
-            let message = match request {
-                GroupRequest::Propose(command) => PeerMessage::Propose(group, number, command),
-                GroupRequest::Await(key) => PeerMessage::Await(group, number, key),
-            };
-            self.effects.push(EntryEffect::Send(vm, message));
-        }
-    }
-
-    /// Hands a request to the local replica of its group.
-    fn take_request(
-        &mut self,
-        group: &GroupName,
-        waiter: ProposalWaiter,
-        request: GroupRequest,
-        now: ClockTime,
-    ) {
-        let Some(ledger) = self.ledgers.get_mut(group) else { return };
-        match request {
-            GroupRequest::Propose(bytes) => {
-                let Ok(command) = postcard::from_bytes::<LedgerCommand>(&bytes) else { return };
-                ledger.propose(waiter, command, now);
-            }
-            GroupRequest::Await(key) => ledger.wait_for(waiter, &key),
-        }
-        self.carry_out(now);
-    }
-
     /// Takes a message that came by TCP.
     pub fn receive(&mut self, from: &VmName, message: PeerMessage, now: ClockTime) {
         match message {
@@ -412,58 +335,6 @@
         }
     }
 
-    fn take_answer(&mut self, request: u64, from: &VmName, answer: ProposalAnswer, now: ClockTime) {
-        let (end, send) = self.client.take_answer(request, from, answer, now);
-        self.send_requests(send, now);
-        let Some(RequestEnd::Applied(bytes)) = end else { return };
-        let Some(purpose) = self.purposes.swap_remove(&request) else { return };
-        match purpose {
-            RequestPurpose::Call(number) => {
-                let end = match postcard::from_bytes::<LedgerAnswer>(&bytes) {
-                    Ok(answer) => CallEnd::Answered(answer),
-                    Err(_) => CallEnd::Unreachable,
-                };
-                self.effects.push(EntryEffect::EndCall(number, end));
-            }
-            RequestPurpose::Founding(group, generation) => {
-                let answer = postcard::from_bytes::<ConfigAnswer>(&bytes);
-                if answer == Ok(ConfigAnswer::Founding(FoundingRank::First)) {
-                    self.open_timeless(&group, generation, now);
-                }
-            }
-        }
-    }
-
-    fn take_awaited(&mut self, request: u64, outcome: Option<JobOutcome>) {
-        self.client.end(request);
-        if let Some(RequestPurpose::Call(number)) = self.purposes.swap_remove(&request) {
-            self.effects.push(EntryEffect::EndCall(number, CallEnd::Awaited(outcome)));
-        }
-    }
-
-    /// Takes a message that came by UDP.
-    pub fn receive_datagram(&mut self, from: &VmName, datagram: PeerDatagram, now: ClockTime) {
-        match datagram {
-            PeerDatagram::Heartbeat(heartbeat) => {
-                if heartbeat.owner.vm != *from {
-                    return;
-                }
-                if heartbeat.centre == self.centre {
-                    let load = heartbeat.load.clone();
-                    self.effects.push(EntryEffect::TakeLoad(from.clone(), load));
-                }
-                self.peers.take(heartbeat, now);
-            }
-            PeerDatagram::News(news) => {
-                let answer = self.endpoints.learn(news, now).unwrap_or_default();
-                for part in answer.into_parts() {
-                    let datagram = PeerDatagram::News(part);
-                    self.effects.push(EntryEffect::SendDatagram(from.clone(), datagram));
-                }
-            }
-        }
-    }
-
     /// Lets time pass.
     pub fn tick(&mut self, now: ClockTime) {
         for ledger in self.ledgers.values_mut() {
@@ -485,17 +356,6 @@
         }
     }
 
-    fn tick_client(&mut self, now: ClockTime) {
-        let group_vms = &self.group_vms;
-        let (sends, expired) = self.client.tick(|group| vms_of(group_vms, group), now);
-        self.send_requests(sends, now);
-        for request in expired {
-            if let Some(RequestPurpose::Call(number)) = self.purposes.swap_remove(&request) {
-                self.effects.push(EntryEffect::EndCall(number, CallEnd::Unreachable));
-            }
-        }
-    }
-
     /// Sends what was proposed to ledgers led here.
     pub fn flush(&mut self, now: ClockTime) {
         for ledger in self.ledgers.values_mut() {
@@ -504,7 +364,7 @@
         self.carry_out(now);
     }
 
-    fn carry_out(&mut self, now: ClockTime) {
+    pub(crate) fn carry_out(&mut self, now: ClockTime) {
         for idx in 0..self.ledgers.len() {
             let Some((group, ledger)) = self.ledgers.get_index_mut(idx) else { continue };
             let group = group.clone();
@@ -543,86 +403,6 @@
             }
         }
     }
-
-    /// Tells the control group of foundings, so that keys without a time can be opened.
-    fn note_foundings(&mut self, now: ClockTime) {
-        let mut unknown = Vec::new();
-        for (group, ledger) in &self.ledgers {
-            let Some(generation) = ledger.node().generation() else { continue };
-            let is_noted = self.founding_noted.get(group) == Some(&generation);
-            if !is_noted && ledger.node().is_settled_leader() && !ledger.ledger().is_timeless_open()
-            {
-                unknown.push((group.clone(), generation));
-            }
-        }
-        for (group, generation) in unknown {
-            self.founding_noted.insert(group.clone(), generation);
-            let centre = DataCentre::from(group.as_str());
-            let command = ConfigCommand::Founding(centre, generation);
-            let bytes = postcard::to_stdvec(&command).unwrap_or_default();
-            let purpose = RequestPurpose::Founding(group, generation);
-            let control = GroupName::from(CONTROL_GROUP);
-            let span_ms = u64::MAX / 4;
-            self.begin_request(&control, GroupRequest::Propose(bytes), purpose, span_ms, now);
-        }
-    }
-
-    fn open_timeless(&mut self, group: &GroupName, generation: GenerationId, now: ClockTime) {
-        let own_vm = self.settings.owner.vm.clone();
-        let Some(ledger) = self.ledgers.get_mut(group) else { return };
-        if ledger.node().generation() == Some(generation) {
-            let waiter = ProposalWaiter { vm: own_vm, request: 0 };
-            ledger.propose(waiter, LedgerCommand::OpenTimeless, now);
-        }
-        if !ledger.node().is_settled_leader() {
-            // Another replica leads by now and will ask again itself.
-            self.founding_noted.swap_remove(group);
-        }
-    }
-
-    fn send_heartbeats(&mut self) {
-        self.n_heartbeats += 1;
-        let is_far_turn = self.n_heartbeats.is_multiple_of(FAR_HEARTBEAT_EVERY);
-        let near = PeerHeartbeat {
-            owner: self.settings.owner.clone(),
-            centre: self.centre.clone(),
-            config_version: self.image.version,
-            stopping: self.stopping,
-            load: self.load.clone(),
-        };
-        let far = PeerHeartbeat { load: PeerLoad::default(), ..near.clone() };
-        for vm in self.settings.layout.vms() {
-            let is_near = vm.centre == self.centre;
-            if vm.name == self.settings.owner.vm || (!is_near && !is_far_turn) {
-                continue;
-            }
-            let heartbeat = if is_near { near.clone() } else { far.clone() };
-            let datagram = PeerDatagram::Heartbeat(heartbeat);
-            self.effects.push(EntryEffect::SendDatagram(vm.name.clone(), datagram));
-        }
-    }
-
-    fn send_news(&mut self, now: ClockTime) {
-        let news = self.endpoints.take_news(now, NEAR_HEARTBEAT_MS);
-        for part in news.into_parts() {
-            for vm in self.settings.layout.entries_in(&self.centre) {
-                if vm != self.settings.owner.vm {
-                    let datagram = PeerDatagram::News(part.clone());
-                    self.effects.push(EntryEffect::SendDatagram(vm, datagram));
-                }
-            }
-        }
-    }
-
-    /// Asks the VM with the highest version for what changed, or a control VM in turn.
-    fn pull_config(&mut self, now: ClockTime) {
-        let highest = self.peers.highest_version(now);
-        let behind = highest.filter(|(version, _)| self.image.version < *version);
-        if let Some((_, vm)) = behind {
-            let message = PeerMessage::ConfigPull(self.image.version);
-            self.effects.push(EntryEffect::Send(vm.clone(), message));
-        }
-    }
 }
 
 fn new_ledger(
@@ -645,11 +425,3 @@
     let node = ReplicaNode::new_fresh(replica_settings, id, now);
     LedgerGroup::new(node, settings.limits, settings.compact_entries)
 }
-
-fn vms_of<'a>(group_vms: &'a IndexMap<GroupName, Vec<VmName>>, group: &GroupName) -> &'a [VmName] {
-    group_vms.get(group).map_or(&[], Vec::as_slice)
-}
-
-fn ledger_request(command: LedgerCommand) -> GroupRequest {
-    GroupRequest::Propose(postcard::to_stdvec(&command).unwrap_or_default())
-}
--- /dev/null
+++ b/lib/src/entry_requests.rs
@@ -0,0 +1,190 @@
+//! Requests of an entry to log groups: calls of traffic to ledgers, and foundings to the
+//! control group. A request to a group with a replica here is handed to it directly.
+
+use indexmap::IndexMap;
+
+use crate::{
+    config_state::{ConfigAnswer, ConfigCommand, FoundingRank},
+    entry_node::{CallEnd, CallNumber, EntryEffect, EntryNode, LedgerCall},
+    job_ledger::{JobOutcome, LedgerAnswer, LedgerCommand},
+    log_group::{ProposalAnswer, ProposalWaiter},
+    peer_message::PeerMessage,
+    prelude::*,
+    proposal_client::{GroupRequest, RequestEnd, RequestSend},
+    vm_layout::CONTROL_GROUP,
+};
+
+/// Why a request of this VM was sent.
+#[derive(Clone, Debug)]
+pub(crate) enum RequestPurpose {
+    Call(CallNumber),
+    Founding(GroupName, GenerationId),
+}
+
+impl EntryNode {
+    /// Begins a call to the ledger of its key's home.
+    pub fn call(&mut self, number: CallNumber, call: LedgerCall, span_ms: u64, now: ClockTime) {
+        let Some(home) = call.key().home(&self.centres) else {
+            self.effects.push(EntryEffect::EndCall(number, CallEnd::Unreachable));
+            return;
+        };
+        let group = GroupName::from(home.as_str());
+        let request = match call {
+            LedgerCall::Claim(claim) => ledger_request(LedgerCommand::Claim(claim)),
+            LedgerCall::Settle(claim, outcome) => {
+                ledger_request(LedgerCommand::Settle(claim, outcome))
+            }
+            LedgerCall::Probe(key) => ledger_request(LedgerCommand::Probe(key)),
+            LedgerCall::Await(key) => GroupRequest::Await(key),
+        };
+        self.begin_request(&group, request, RequestPurpose::Call(number), span_ms, now);
+    }
+
+    pub(crate) fn begin_request(
+        &mut self,
+        group: &GroupName,
+        request: GroupRequest,
+        purpose: RequestPurpose,
+        span_ms: u64,
+        now: ClockTime,
+    ) {
+        let vms = vms_of(&self.group_vms, group);
+        let deadline = now.plus_ms(span_ms);
+        let (request_number, send) = self.client.begin(group, request, vms, deadline, now);
+        self.purposes.insert(request_number, purpose);
+        self.send_requests(send, now);
+    }
+
+    pub(crate) fn send_requests(
+        &mut self,
+        sends: impl IntoIterator<Item = RequestSend>,
+        now: ClockTime,
+    ) {
+        for (vm, group, number, request) in sends {
+            let waiter = ProposalWaiter { vm: self.settings.owner.vm.clone(), request: number };
+            if vm == waiter.vm {
+                self.take_request(&group, waiter, request, now);
+                continue;
+            }
+            let message = match request {
+                GroupRequest::Propose(command) => PeerMessage::Propose(group, number, command),
+                GroupRequest::Await(key) => PeerMessage::Await(group, number, key),
+            };
+            self.effects.push(EntryEffect::Send(vm, message));
+        }
+    }
+
+    /// Hands a request to the local replica of its group.
+    pub(crate) fn take_request(
+        &mut self,
+        group: &GroupName,
+        waiter: ProposalWaiter,
+        request: GroupRequest,
+        now: ClockTime,
+    ) {
+        let Some(ledger) = self.ledgers.get_mut(group) else { return };
+        match request {
+            GroupRequest::Propose(bytes) => {
+                let Ok(command) = postcard::from_bytes::<LedgerCommand>(&bytes) else { return };
+                ledger.propose(waiter, command, now);
+            }
+            GroupRequest::Await(key) => ledger.wait_for(waiter, &key),
+        }
+        self.carry_out(now);
+    }
+
+    pub(crate) fn take_answer(
+        &mut self,
+        request: u64,
+        from: &VmName,
+        answer: ProposalAnswer,
+        now: ClockTime,
+    ) {
+        let (end, send) = self.client.take_answer(request, from, answer, now);
+        self.send_requests(send, now);
+        let Some(RequestEnd::Applied(bytes)) = end else { return };
+        let Some(purpose) = self.purposes.swap_remove(&request) else { return };
+        match purpose {
+            RequestPurpose::Call(number) => {
+                let end = match postcard::from_bytes::<LedgerAnswer>(&bytes) {
+                    Ok(answer) => CallEnd::Answered(answer),
+                    Err(_) => CallEnd::Unreachable,
+                };
+                self.effects.push(EntryEffect::EndCall(number, end));
+            }
+            RequestPurpose::Founding(group, generation) => {
+                let answer = postcard::from_bytes::<ConfigAnswer>(&bytes);
+                if answer == Ok(ConfigAnswer::Founding(FoundingRank::First)) {
+                    self.open_timeless(&group, generation, now);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn take_awaited(&mut self, request: u64, outcome: Option<JobOutcome>) {
+        self.client.end(request);
+        if let Some(RequestPurpose::Call(number)) = self.purposes.swap_remove(&request) {
+            self.effects.push(EntryEffect::EndCall(number, CallEnd::Awaited(outcome)));
+        }
+    }
+
+    pub(crate) fn tick_client(&mut self, now: ClockTime) {
+        let group_vms = &self.group_vms;
+        let (sends, expired) = self.client.tick(|group| vms_of(group_vms, group), now);
+        self.send_requests(sends, now);
+        for request in expired {
+            if let Some(RequestPurpose::Call(number)) = self.purposes.swap_remove(&request) {
+                self.effects.push(EntryEffect::EndCall(number, CallEnd::Unreachable));
+            }
+        }
+    }
+
+    /// Tells the control group of foundings, so that keys without a time can be opened.
+    pub(crate) fn note_foundings(&mut self, now: ClockTime) {
+        let mut unknown = Vec::new();
+        for (group, ledger) in &self.ledgers {
+            let Some(generation) = ledger.node().generation() else { continue };
+            let is_noted = self.founding_noted.get(group) == Some(&generation);
+            if !is_noted && ledger.node().is_settled_leader() && !ledger.ledger().is_timeless_open()
+            {
+                unknown.push((group.clone(), generation));
+            }
+        }
+        for (group, generation) in unknown {
+            self.founding_noted.insert(group.clone(), generation);
+            let centre = DataCentre::from(group.as_str());
+            let command = ConfigCommand::Founding(centre, generation);
+            let bytes = postcard::to_stdvec(&command).unwrap_or_default();
+            let purpose = RequestPurpose::Founding(group, generation);
+            let control = GroupName::from(CONTROL_GROUP);
+            let span_ms = u64::MAX / 4;
+            self.begin_request(&control, GroupRequest::Propose(bytes), purpose, span_ms, now);
+        }
+    }
+
+    pub(crate) fn open_timeless(
+        &mut self,
+        group: &GroupName,
+        generation: GenerationId,
+        now: ClockTime,
+    ) {
+        let own_vm = self.settings.owner.vm.clone();
+        let Some(ledger) = self.ledgers.get_mut(group) else { return };
+        if ledger.node().generation() == Some(generation) {
+            let waiter = ProposalWaiter { vm: own_vm, request: 0 };
+            ledger.propose(waiter, LedgerCommand::OpenTimeless, now);
+        }
+        if !ledger.node().is_settled_leader() {
+            // Another replica leads by now and will ask again itself.
+            self.founding_noted.swap_remove(group);
+        }
+    }
+}
+
+fn vms_of<'a>(group_vms: &'a IndexMap<GroupName, Vec<VmName>>, group: &GroupName) -> &'a [VmName] {
+    group_vms.get(group).map_or(&[], Vec::as_slice)
+}
+
+fn ledger_request(command: LedgerCommand) -> GroupRequest {
+    GroupRequest::Propose(postcard::to_stdvec(&command).unwrap_or_default())
+}
