--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -96,7 +96,7 @@
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}.{}", self.job, self.idx)?;
-        if self.attempt > 0 {
+        if 0 < self.attempt {
             write!(f, ".r{}", self.attempt)?;
         }
         Ok(())
--- a/testutils/src/world_faults.rs
+++ b/testutils/src/world_faults.rs
@@ -97,7 +97,7 @@
             FaultKind::CutCentre | FaultKind::CutCentreOneWay => {
                 let centres = self.layout.centres();
                 let centre = centres.choose(&mut self.rng)?.clone();
-                self.cut_centre(&centre, kind == FaultKind::CutCentre);
+                self.cut_centre(&centre, kind);
                 self.heal_later(9_000);
             }
             FaultKind::CutPair => {
@@ -150,12 +150,12 @@
         Some(())
     }
 
-    pub(crate) fn cut_centre(&mut self, centre: &DataCentre, both_ways: bool) {
+    pub(crate) fn cut_centre(&mut self, centre: &DataCentre, kind: FaultKind) {
         let vms = self.layout.vms().to_vec();
         for inner in vms.iter().filter(|it| it.centre == *centre) {
             for outer in vms.iter().filter(|it| it.centre != *centre) {
                 self.bag.cut(&inner.name, &outer.name);
-                if both_ways {
+                if kind == FaultKind::CutCentre {
                     self.bag.cut(&outer.name, &inner.name);
                 }
             }
