lib: remember every withdrawn claim of a key, not only the last

Cause: two submissions of one key could not confirm their claims and withdrew them; the record kept the random number of one, and a late copy of the other's claim was granted to an entry that had given it up. Ruled out, by a trace of every command on the key: a lost settle, a lost answer. Change: a record keeps the numbers of all claims that were withdrawn or ended as not run, also when the key is claimed again.

--- a/lib/src/job_ledger.rs
+++ b/lib/src/job_ledger.rs
@@ -149,6 +149,8 @@
     pub owner: OwnerId,
     /// The claim's random number.
     pub nonce: u64,
+    /// Claims that must not be granted any more: withdrawn, or ended as not run.
+    pub withdrawn: Vec<u64>,
     /// How far it has come.
     pub state: JobState,
 }
@@ -285,10 +287,13 @@
                 return LedgerAnswer::Refused(RequestError::new(ErrorKind::KeyConflict, message));
             }
             let is_same = record.nonce == claim.nonce && record.owner == claim.owner;
+            let is_withdrawn = record.withdrawn.contains(&claim.nonce);
             match &record.state {
                 JobState::Running if is_same => return LedgerAnswer::Granted,
-                JobState::Settled(outcome) if !is_same && outcome.ran() == RanState::NotRun => {
-                    self.remove_record(&claim.key);
+                JobState::Settled(outcome)
+                    if !is_same && !is_withdrawn && outcome.ran() == RanState::NotRun =>
+                {
+                    return self.claim_again(claim);
                 }
                 JobState::Settled(outcome) => {
                     return LedgerAnswer::Attached(record.owner.clone(), Some(outcome.clone()));
@@ -299,22 +304,42 @@
         if let Err(error) = self.check_new_key(&claim.key) {
             return LedgerAnswer::Refused(error);
         }
-        let JobClaim { key, digest, owner, nonce } = claim;
-        self.insert_record(key, JobRecord { digest, owner, nonce, state: JobState::Running });
+        self.insert_running(claim, Vec::new());
+        LedgerAnswer::Granted
+    }
+
+    /// Grants a claim on a key whose former claim ended as not run.
+    fn claim_again(&mut self, claim: JobClaim) -> LedgerAnswer {
+        let mut withdrawn = Vec::new();
+        if let Some(former) = self.remove_record(&claim.key) {
+            withdrawn = former.withdrawn;
+            withdrawn.push(former.nonce);
+        }
+        self.insert_running(claim, withdrawn);
         LedgerAnswer::Granted
     }
 
+    fn insert_running(&mut self, claim: JobClaim, withdrawn: Vec<u64>) {
+        let JobClaim { key, digest, owner, nonce } = claim;
+        let state = JobState::Running;
+        self.insert_record(key, JobRecord { digest, owner, nonce, withdrawn, state });
+    }
+
     fn settle(&mut self, claim: JobClaim, outcome: JobOutcome) -> LedgerAnswer {
-        let Some(record) = self.jobs.get(&claim.key) else {
+        let Some(record) = self.jobs.get_mut(&claim.key) else {
             // Where the key cannot be claimed any more, another outcome may have been told.
             if let Err(error) = self.check_new_key(&claim.key) {
                 return LedgerAnswer::Refused(error);
             }
             // The claim never came; a later copy of it must not be granted.
-            self.insert_settled(claim, &outcome);
+            self.insert_settled(claim, &outcome, Vec::new());
             return LedgerAnswer::Settled(outcome);
         };
         if record.nonce != claim.nonce || record.owner != claim.owner {
+            if !record.withdrawn.contains(&claim.nonce) {
+                record.withdrawn.push(claim.nonce);
+                self.n_bytes += 8;
+            }
             return match &record.state {
                 JobState::Settled(known) => LedgerAnswer::Settled(known.clone()),
                 JobState::Running => LedgerAnswer::Attached(record.owner.clone(), None),
@@ -323,16 +348,21 @@
         if let JobState::Settled(known) = &record.state {
             return LedgerAnswer::Settled(known.clone());
         }
-        self.remove_record(&claim.key);
-        self.insert_settled(claim, &outcome);
+        self.end_record(claim, &outcome);
         LedgerAnswer::Settled(outcome)
     }
 
-    fn insert_settled(&mut self, claim: JobClaim, outcome: &JobOutcome) {
+    /// Puts an outcome into the record of a claim.
+    fn end_record(&mut self, claim: JobClaim, outcome: &JobOutcome) {
+        let withdrawn = self.remove_record(&claim.key).map(|it| it.withdrawn).unwrap_or_default();
+        self.insert_settled(claim, outcome, withdrawn);
+    }
+
+    fn insert_settled(&mut self, claim: JobClaim, outcome: &JobOutcome, withdrawn: Vec<u64>) {
         let JobClaim { key, digest, owner, nonce } = claim;
         self.settled.push(key.clone());
         let state = JobState::Settled(outcome.clone());
-        self.insert_record(key, JobRecord { digest, owner, nonce, state });
+        self.insert_record(key, JobRecord { digest, owner, nonce, withdrawn, state });
     }
 
     fn probe(&self, key: &JobKey) -> LedgerAnswer {
@@ -364,8 +394,7 @@
                 owner: record.owner.clone(),
                 nonce: record.nonce,
             };
-            self.remove_record(&key);
-            self.insert_settled(claim, &outcome);
+            self.end_record(claim, &outcome);
         }
         LedgerAnswer::Done
     }
@@ -431,8 +460,8 @@
         }
     }
 
-    fn remove_record(&mut self, key: &JobKey) {
-        let Some(record) = self.jobs.swap_remove(key) else { return };
+    fn remove_record(&mut self, key: &JobKey) -> Option<JobRecord> {
+        let record = self.jobs.swap_remove(key)?;
         self.n_bytes = self.n_bytes.saturating_sub(record_bytes(key, &record));
         if let Some(minted_at) = key.minted_at() {
             self.by_age.remove(&(minted_at, key.clone()));
@@ -440,6 +469,7 @@
         if let Some(keys) = self.running.get_mut(&record.owner.vm) {
             keys.swap_remove(key);
         }
+        Some(record)
     }
 }
 
@@ -448,5 +478,6 @@
         JobState::Running => 0,
         JobState::Settled(outcome) => outcome.n_bytes(),
     };
-    RECORD_OVERHEAD_BYTES + 2 * key.as_str().len() as u64 + outcome_bytes
+    let withdrawn_bytes = 8 * record.withdrawn.len() as u64;
+    RECORD_OVERHEAD_BYTES + 2 * key.as_str().len() as u64 + outcome_bytes + withdrawn_bytes
 }
--- a/lib/tests/test_job_ledger.rs
+++ b/lib/tests/test_job_ledger.rs
@@ -138,6 +138,30 @@
     assert_eq!(fresh, LedgerAnswer::Granted);
 }
 
+#[test]
+fn no_withdrawn_claim_is_granted_whatever_came_in_between() {
+    let mut ledger = ledger();
+    let key = key_at(NOW, 1);
+    let (lhs, rhs) = (claim(&key, 0, 1), claim(&key, 1, 2));
+    let withdrawn = failed(ErrorKind::ClaimWithdrawn);
+    apply(&mut ledger, NOW, LedgerCommand::Settle(lhs.clone(), withdrawn.clone()));
+    apply(&mut ledger, NOW, LedgerCommand::Settle(rhs.clone(), withdrawn.clone()));
+    for late in [&rhs, &lhs] {
+        let answer = apply(&mut ledger, NOW, LedgerCommand::Claim(late.clone()));
+        assert_eq!(answer, LedgerAnswer::Attached(owner(0), Some(withdrawn.clone())));
+    }
+    // A third claim is granted and ends as not run; the others stay withdrawn.
+    let third = claim(&key, 0, 3);
+    let granted = apply(&mut ledger, NOW, LedgerCommand::Claim(third.clone()));
+    assert_eq!(granted, LedgerAnswer::Granted);
+    let cancelled = failed(ErrorKind::CancelledBeforeStart);
+    apply(&mut ledger, NOW, LedgerCommand::Settle(third.clone(), cancelled.clone()));
+    for late in [&lhs, &rhs, &third] {
+        let answer = apply(&mut ledger, NOW, LedgerCommand::Claim(late.clone()));
+        assert_eq!(answer, LedgerAnswer::Attached(owner(0), Some(cancelled.clone())));
+    }
+}
+
 #[test]
 fn lost_owner_fails_its_jobs_and_a_later_outcome_is_not_taken() {
     let mut ledger = ledger();
