--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -550,7 +550,10 @@
             for message in self.frozen_inbox.swap_remove(vm).unwrap_or_default() {
                 self.deliver(message);
             }
-            self.whole_since = self.now;
+            // Links that are cut stay so.
+            if self.whole_since <= self.now {
+                self.whole_since = self.now;
+            }
         }
     }
 
