lib: a claim that was told to wait is not granted by a later copy

Cause: a submission was told to wait for another claim of its key; that claim was withdrawn before any start; a later copy of the first message, sent again while the leader was frozen, found the key free and was granted to an entry that no longer waited for it. Change: the record keeps the number of every claim that was answered otherwise than by a grant. Left: a claim refused for the state of the ledger (full, fence, clock) leaves no record; a copy that comes after that state has changed could still be granted.

--- a/lib/src/job_ledger.rs
+++ b/lib/src/job_ledger.rs
@@ -18,6 +18,9 @@
 /// Bytes that a record is taken to need besides its key and outcome.
 const RECORD_OVERHEAD_BYTES: u64 = 160;
 
+/// Bytes of the number of a spent claim.
+const SPENT_BYTES: u64 = 8;
+
 /// Limits of a ledger, the same on each of its replicas.
 #[derive(Data!, Copy)]
 pub struct LedgerLimits {
@@ -149,8 +152,9 @@
     pub owner: OwnerId,
     /// The claim's random number.
     pub nonce: u64,
-    /// Claims that must not be granted any more: withdrawn, or ended as not run.
-    pub withdrawn: Vec<u64>,
+    /// Claims that were answered and must not be granted by a later copy: withdrawn,
+    /// told to wait for another, or ended as not run.
+    pub spent: Vec<u64>,
     /// How far it has come.
     pub state: JobState,
 }
@@ -281,25 +285,8 @@
     }
 
     fn claim(&mut self, claim: JobClaim) -> LedgerAnswer {
-        if let Some(record) = self.jobs.get(&claim.key) {
-            if record.digest != claim.digest {
-                let message = format!("key {} was used with another body", claim.key);
-                return LedgerAnswer::Refused(RequestError::new(ErrorKind::KeyConflict, message));
-            }
-            let is_same = record.nonce == claim.nonce && record.owner == claim.owner;
-            let is_withdrawn = record.withdrawn.contains(&claim.nonce);
-            match &record.state {
-                JobState::Running if is_same => return LedgerAnswer::Granted,
-                JobState::Settled(outcome)
-                    if !is_same && !is_withdrawn && outcome.ran() == RanState::NotRun =>
-                {
-                    return self.claim_again(claim);
-                }
-                JobState::Settled(outcome) => {
-                    return LedgerAnswer::Attached(record.owner.clone(), Some(outcome.clone()));
-                }
-                JobState::Running => return LedgerAnswer::Attached(record.owner.clone(), None),
-            }
+        if self.jobs.contains_key(&claim.key) {
+            return self.claim_known(claim);
         }
         if let Err(error) = self.check_new_key(&claim.key) {
             return LedgerAnswer::Refused(error);
@@ -308,25 +295,61 @@
         LedgerAnswer::Granted
     }
 
+    /// Answers a claim on a key that another claim, or a copy of this one, holds or held.
+    fn claim_known(&mut self, claim: JobClaim) -> LedgerAnswer {
+        let Some(record) = self.jobs.get_mut(&claim.key) else { return LedgerAnswer::Unclaimed };
+        if record.digest != claim.digest {
+            let message = format!("key {} was used with another body", claim.key);
+            return LedgerAnswer::Refused(RequestError::new(ErrorKind::KeyConflict, message));
+        }
+        let is_same = record.nonce == claim.nonce && record.owner == claim.owner;
+        let is_spent = record.spent.contains(&claim.nonce);
+        match &record.state {
+            JobState::Running if is_same => LedgerAnswer::Granted,
+            JobState::Running => {
+                let answer = LedgerAnswer::Attached(record.owner.clone(), None);
+                self.spend(&claim);
+                answer
+            }
+            JobState::Settled(outcome)
+                if !is_same && !is_spent && outcome.ran() == RanState::NotRun =>
+            {
+                self.claim_again(claim)
+            }
+            JobState::Settled(outcome) => {
+                LedgerAnswer::Attached(record.owner.clone(), Some(outcome.clone()))
+            }
+        }
+    }
+
+    /// Notes that a claim was answered otherwise than by a grant.
+    fn spend(&mut self, claim: &JobClaim) {
+        let Some(record) = self.jobs.get_mut(&claim.key) else { return };
+        if !record.spent.contains(&claim.nonce) {
+            record.spent.push(claim.nonce);
+            self.n_bytes += SPENT_BYTES;
+        }
+    }
+
     /// Grants a claim on a key whose former claim ended as not run.
     fn claim_again(&mut self, claim: JobClaim) -> LedgerAnswer {
-        let mut withdrawn = Vec::new();
+        let mut spent = Vec::new();
         if let Some(former) = self.remove_record(&claim.key) {
-            withdrawn = former.withdrawn;
-            withdrawn.push(former.nonce);
+            spent = former.spent;
+            spent.push(former.nonce);
         }
-        self.insert_running(claim, withdrawn);
+        self.insert_running(claim, spent);
         LedgerAnswer::Granted
     }
 
-    fn insert_running(&mut self, claim: JobClaim, withdrawn: Vec<u64>) {
+    fn insert_running(&mut self, claim: JobClaim, spent: Vec<u64>) {
         let JobClaim { key, digest, owner, nonce } = claim;
         let state = JobState::Running;
-        self.insert_record(key, JobRecord { digest, owner, nonce, withdrawn, state });
+        self.insert_record(key, JobRecord { digest, owner, nonce, spent, state });
     }
 
     fn settle(&mut self, claim: JobClaim, outcome: JobOutcome) -> LedgerAnswer {
-        let Some(record) = self.jobs.get_mut(&claim.key) else {
+        let Some(record) = self.jobs.get(&claim.key) else {
             // Where the key cannot be claimed any more, another outcome may have been told.
             if let Err(error) = self.check_new_key(&claim.key) {
                 return LedgerAnswer::Refused(error);
@@ -336,14 +359,12 @@
             return LedgerAnswer::Settled(outcome);
         };
         if record.nonce != claim.nonce || record.owner != claim.owner {
-            if !record.withdrawn.contains(&claim.nonce) {
-                record.withdrawn.push(claim.nonce);
-                self.n_bytes += 8;
-            }
-            return match &record.state {
+            let answer = match &record.state {
                 JobState::Settled(known) => LedgerAnswer::Settled(known.clone()),
                 JobState::Running => LedgerAnswer::Attached(record.owner.clone(), None),
             };
+            self.spend(&claim);
+            return answer;
         }
         if let JobState::Settled(known) = &record.state {
             return LedgerAnswer::Settled(known.clone());
@@ -354,15 +375,15 @@
 
     /// Puts an outcome into the record of a claim.
     fn end_record(&mut self, claim: JobClaim, outcome: &JobOutcome) {
-        let withdrawn = self.remove_record(&claim.key).map(|it| it.withdrawn).unwrap_or_default();
-        self.insert_settled(claim, outcome, withdrawn);
+        let spent = self.remove_record(&claim.key).map(|it| it.spent).unwrap_or_default();
+        self.insert_settled(claim, outcome, spent);
     }
 
-    fn insert_settled(&mut self, claim: JobClaim, outcome: &JobOutcome, withdrawn: Vec<u64>) {
+    fn insert_settled(&mut self, claim: JobClaim, outcome: &JobOutcome, spent: Vec<u64>) {
         let JobClaim { key, digest, owner, nonce } = claim;
         self.settled.push(key.clone());
         let state = JobState::Settled(outcome.clone());
-        self.insert_record(key, JobRecord { digest, owner, nonce, withdrawn, state });
+        self.insert_record(key, JobRecord { digest, owner, nonce, spent, state });
     }
 
     fn probe(&self, key: &JobKey) -> LedgerAnswer {
@@ -478,6 +499,6 @@
         JobState::Running => 0,
         JobState::Settled(outcome) => outcome.n_bytes(),
     };
-    let withdrawn_bytes = 8 * record.withdrawn.len() as u64;
-    RECORD_OVERHEAD_BYTES + 2 * key.as_str().len() as u64 + outcome_bytes + withdrawn_bytes
+    let spent_bytes = SPENT_BYTES * record.spent.len() as u64;
+    RECORD_OVERHEAD_BYTES + 2 * key.as_str().len() as u64 + outcome_bytes + spent_bytes
 }
--- a/lib/tests/test_job_ledger.rs
+++ b/lib/tests/test_job_ledger.rs
@@ -162,6 +162,20 @@
     }
 }
 
+#[test]
+fn claim_that_was_attached_is_not_granted_by_a_later_copy() {
+    let mut ledger = ledger();
+    let key = key_at(NOW, 1);
+    let (first, second) = (claim(&key, 0, 1), claim(&key, 1, 2));
+    apply(&mut ledger, NOW, LedgerCommand::Claim(first.clone()));
+    // The second submission is told to wait for the first.
+    apply(&mut ledger, NOW, LedgerCommand::Claim(second.clone()));
+    let withdrawn = failed(ErrorKind::ClaimWithdrawn);
+    apply(&mut ledger, NOW, LedgerCommand::Settle(first, withdrawn.clone()));
+    let copy = apply(&mut ledger, NOW, LedgerCommand::Claim(second));
+    assert_eq!(copy, LedgerAnswer::Attached(owner(0), Some(withdrawn)));
+}
+
 #[test]
 fn lost_owner_fails_its_jobs_and_a_later_outcome_is_not_taken() {
     let mut ledger = ledger();
