lib: news of endpoints carries when it was sent

Change: news counts from when it was sent, by the sender's clock, which may be off by the allowed skew of 0.5 s against the 3 s for which news counts. Left: an announcement by HTTP that waited in the socket of a frozen entry still counts from when it is read.

--- a/lib/src/endpoint_table.rs
+++ b/lib/src/endpoint_table.rs
@@ -70,6 +70,8 @@
 /// What entries tell each other of endpoints.
 #[derive(Data!, Default)]
 pub struct EndpointNews {
+    /// When it was sent, by the sender's clock: it may be read much later.
+    pub sent_at: ClockTime,
     /// Whole announcements.
     pub whole: Vec<EndpointRecord>,
     /// Digests of announcements that stay fresh, with their age in ms.
@@ -86,15 +88,20 @@
 impl EndpointNews {
     /// The same news in parts that each fit a datagram; none when there is no news.
     pub fn into_parts(self) -> Vec<EndpointNews> {
+        let sent_at = self.sent_at;
         let mut parts = Vec::new();
         for whole in self.whole.chunks(MAX_WHOLE) {
-            parts.push(EndpointNews { whole: whole.to_vec(), ..EndpointNews::default() });
+            parts.push(EndpointNews { sent_at, whole: whole.to_vec(), ..EndpointNews::default() });
         }
         for fresh in self.fresh.chunks(MAX_DIGESTS) {
-            parts.push(EndpointNews { fresh: fresh.to_vec(), ..EndpointNews::default() });
+            parts.push(EndpointNews { sent_at, fresh: fresh.to_vec(), ..EndpointNews::default() });
         }
         for wanted in self.wanted.chunks(MAX_DIGESTS) {
-            parts.push(EndpointNews { wanted: wanted.to_vec(), ..EndpointNews::default() });
+            parts.push(EndpointNews {
+                sent_at,
+                wanted: wanted.to_vec(),
+                ..EndpointNews::default()
+            });
         }
         parts
     }
@@ -133,14 +140,16 @@
 
     /// Takes what another entry tells; returns the answer it asked for, if any.
     pub fn learn(&mut self, news: EndpointNews, now: ClockTime) -> Option<EndpointNews> {
-        let mut answer = EndpointNews::default();
+        let mut answer = EndpointNews { sent_at: now, ..EndpointNews::default() };
+        // News that waited in the socket of a process at a standstill is no news.
+        let told_at = news.sent_at.min(now);
         for record in news.whole {
-            if let Some(state) = self.upsert(record, now) {
+            if let Some(state) = self.upsert(record, told_at) {
                 state.unsent = false;
             }
         }
         for (digest, age_ms) in news.fresh {
-            let heard_at = now.minus_ms(u64::from(age_ms));
+            let heard_at = told_at.minus_ms(u64::from(age_ms));
             match self.by_digest.get(&digest).and_then(|it| self.endpoints.get_mut(it)) {
                 Some(state) if state.digest == digest => {
                     state.heard_at = state.heard_at.max(heard_at);
@@ -158,7 +167,7 @@
 
     /// What this entry has to tell the others, once an interval.
     pub fn take_news(&mut self, now: ClockTime, interval_ms: u64) -> EndpointNews {
-        let mut news = EndpointNews::default();
+        let mut news = EndpointNews { sent_at: now, ..EndpointNews::default() };
         for state in self.endpoints.values_mut() {
             let Some(announced_at) = state.announced_at else { continue };
             let age_ms = now.since_ms(announced_at);
@@ -206,7 +215,7 @@
             self.endpoints.insert(name.clone(), state);
         }
         let state = self.endpoints.get_mut(&name)?;
-        state.heard_at = now;
+        state.heard_at = state.heard_at.max(now);
         Some(state)
     }
 }
