all: remove what nothing uses, one check of the links' exposure

Both binaries checked by the same lines whether their link address may go without keys; process_setup does it now. The load's burst factor gave the same in both of its arms. Gone: a loop in the test of the worlds that did nothing, fields and functions without a caller, and half a comment that was not true. Behaviour and assertions are unchanged.

--- a/adapters/src/process_setup.rs
+++ b/adapters/src/process_setup.rs
@@ -75,6 +75,16 @@
     Ok(())
 }
 
+/// Refuses an address for the system's own processes beyond loopback without link keys.
+///
+/// # Errors
+///
+/// When this VM's address is not loopback and its links have no secret.
+pub fn check_link_exposure(layout: &VmLayout, own: &VmName, keys: &LinkKeys) -> anyhow::Result<()> {
+    let Some(spec) = layout.vm(own) else { return Ok(()) };
+    check_exposure(spec.address.parse()?, (!keys.is_secret()).then_some("--link-keys"))
+}
+
 /// Binds a VM's address for the system's own processes.
 ///
 /// # Errors
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -84,10 +84,7 @@
     let operators = process_setup::read_guard("--operator-tokens", args.operator_tokens.as_ref())?;
     let missing = operators.is_open().then_some("--operator-tokens");
     process_setup::check_exposure(args.listen, missing)?;
-    if let Some(own) = layout.vm(&vm) {
-        let missing = (!keys.is_secret()).then_some("--link-keys");
-        process_setup::check_exposure(own.address.parse()?, missing)?;
-    }
+    process_setup::check_link_exposure(&layout, &vm, &keys)?;
     if args.check {
         println!("the settings are valid");
         return Ok(());
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -183,8 +183,7 @@
     let callers = process_setup::read_guard("--caller-tokens", args.caller_tokens.as_ref())?;
     let endpoints = process_setup::read_guard("--endpoint-tokens", args.endpoint_tokens.as_ref())?;
     let operators = process_setup::read_guard("--operator-tokens", args.operator_tokens.as_ref())?;
-    let own = layout.vm(&vm).cloned();
-    let centre = own.as_ref().map_or(DataCentre::from(""), |it| it.centre.clone());
+    let centre = layout.vm(&vm).map_or(DataCentre::from(""), |it| it.centre.clone());
     for (guard, flag) in [
         (&callers, "--caller-tokens"),
         (&endpoints, "--endpoint-tokens"),
@@ -192,10 +191,7 @@
     ] {
         process_setup::check_exposure(args.listen, guard.is_open().then_some(flag))?;
     }
-    if let Some(own) = &own {
-        let missing = (!keys.is_secret()).then_some("--link-keys");
-        process_setup::check_exposure(own.address.parse()?, missing)?;
-    }
+    process_setup::check_link_exposure(&layout, &vm, &keys)?;
     if args.check {
         println!("the settings are valid");
         return Ok(());
--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Asks the VM with the highest version for what changed, or a control VM in turn.
+    /// Asks the VM with the highest version for what changed.
     pub(crate) fn pull_config(&mut self, now: ClockTime) {
         let highest = self.peers.highest_version(now);
         let behind = highest.filter(|(version, _)| self.image.version < *version);
--- a/lib/src/proposal_client.rs
+++ b/lib/src/proposal_client.rs
@@ -64,11 +64,6 @@
         self.n_resent
     }
 
-    /// Requests that have not ended.
-    pub fn n_pending(&self) -> usize {
-        self.pending.len()
-    }
-
     /// Notes the leader of a group.
     pub fn set_leader(&mut self, group: &GroupName, vm: &VmName) {
         if self.leaders.get(group) != Some(vm) {
--- a/lib/src/run_estimates.rs
+++ b/lib/src/run_estimates.rs
@@ -87,11 +87,6 @@
         self.factors.get(endpoint).map_or(1.0, |it| it.value)
     }
 
-    /// Whether an endpoint has finished any task.
-    pub fn is_known(&self, endpoint: &EndpointName) -> bool {
-        self.factors.contains_key(endpoint)
-    }
-
     /// Forgets endpoints for which `keep` says no.
     pub fn retain_endpoints(&mut self, keep: impl Fn(&EndpointName) -> bool) {
         self.factors.retain(|name, _| keep(name));
--- a/load/src/load_run.rs
+++ b/load/src/load_run.rs
@@ -20,7 +20,7 @@
 use yuccamux_adapters::connection_pool::ConnectionPool;
 
 use crate::{
-    job_mix::{self, MixJob, WorkspaceMix},
+    job_mix::{self, MixJob},
     load_args::RunCommand,
     load_client,
     load_report::{KindReport, KindTimes, LoadReport, RefusalReport},
@@ -109,7 +109,7 @@
     let shared = Arc::new((pool.clone(), entries.to_vec(), args.clone()));
     while at < args.seconds {
         let in_burst = middle <= at && at < middle + BURST_SECONDS;
-        let rate = if in_burst { rate * burst_factor(&mix, args.burst) } else { rate };
+        let rate = if in_burst { rate * args.burst.max(1.0) } else { rate };
         at += -rng.random_range(f64::MIN_POSITIVE..1.0_f64).ln() / rate;
         let job = if in_burst && 1.0 < args.burst && rng.random_bool(1.0 - 1.0 / args.burst) {
             let notices = job_mix::workspaces("notices")?;
@@ -146,11 +146,6 @@
     Ok(ends)
 }
 
-/// Notices are 0.4 of the jobs; a burst multiplies those alone.
-fn burst_factor(mix: &[WorkspaceMix], burst: f64) -> f64 {
-    if mix.len() < 2 || burst <= 1.0 { burst.max(1.0) } else { burst }
-}
-
 struct JobPlan {
     sent_at: f64,
     intended: Instant,
--- a/testutils/src/fake_control.rs
+++ b/testutils/src/fake_control.rs
@@ -22,11 +22,6 @@
         Some((self.hard.clone()?, self.log.clone()))
     }
 
-    /// Number of entries that a restart must replay.
-    pub fn n_entries(&self) -> usize {
-        self.log.n_entries()
-    }
-
     /// Writes and syncs changes.
     pub fn commit(&mut self, effects: Vec<StoreEffect>) {
         for effect in effects {
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -75,8 +75,6 @@
     pub n_steps: u64,
     /// Answers that were complete.
     pub n_complete: u64,
-    /// Submissions whose process died.
-    pub n_orphaned: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -251,15 +249,12 @@
         let complete =
             |it: &&CallerRecord| matches!(&it.answer, Some(Ok(it)) if it.ran() == RanState::Ran);
         let n_complete = self.record.submissions.values().filter(complete).count() as u64;
-        let orphans = self.record.submissions.values().filter(|it| it.answer.is_none());
-        let n_orphaned = orphans.count() as u64;
         WorldResult {
             faults: self.faults,
             bag: self.bag.counts(),
             n_steps: self.n_steps,
             record: self.record,
             n_complete,
-            n_orphaned,
         }
     }
 
--- a/testutils/src/world_record.rs
+++ b/testutils/src/world_record.rs
@@ -41,8 +41,6 @@
     pub accepted: IndexMap<String, u64>,
     /// First answer to each change id.
     pub change_answers: IndexMap<String, Result<u64, ErrorKind>>,
-    /// Longest time for a version to be in force everywhere once links were whole, in ms.
-    pub slowest_config_ms: u64,
     /// What was not allowed.
     pub violations: Vec<String>,
 }
--- a/testutils/tests/test_system_world.rs
+++ b/testutils/tests/test_system_world.rs
@@ -26,9 +26,6 @@
         let result = run(seed, entries_per_centre, faults);
         assert_eq!(result.record.violations, Vec::<String>::new(), "seed {seed}");
         assert!(0 < result.n_complete, "seed {seed}: no job was complete");
-        for fault in faults {
-            let _ = fault;
-        }
         assert!(
             faults.is_empty() || 0 < result.faults.values().sum::<u64>(),
             "seed {seed}: no fault"
