--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -7,9 +7,11 @@
 use log::{error, info};
 use tokio::sync::{mpsc, oneshot};
 use yuccamux::{
-    config_state::{ChangeRecord, ConfigChange, ConfigImage},
+    cell::endpoint_directory::{DirectoryChange, EndpointRecord},
+    config_state::{ChangeRecord, ConfigChange, ConfigImage, StoredPlan},
     control_node::{ControlEffect, ControlNode, ControlSettings},
     entry_node::CallNumber,
+    peer_message::PeerDatagram,
     prelude::*,
 };
 
@@ -17,7 +19,7 @@
     control_thread::{self, ThreadInbox, ThreadInput},
     link_key::LinkKeys,
     log_store::LogStore,
-    peer_link::{LinkSockets, PeerInput, PeerLink},
+    peer_link::{AddressBook, LinkSockets, PeerInput, PeerLink},
     wall_clock::WallClock,
 };
 
@@ -36,8 +38,21 @@
     History(oneshot::Sender<Vec<ChangeRecord>>),
     /// A view of the state.
     Status(oneshot::Sender<ServiceStatus>),
+    /// Put routes in force.
+    PutPlan(StoredPlan, oneshot::Sender<Result<u64, RequestError>>),
+    /// Read the routes in force.
+    ReadPlan(oneshot::Sender<PlanRead>),
+    /// An endpoint announces itself.
+    Announce(EndpointRecord),
+    /// An endpoint's life is over.
+    Leave(EndpointName),
+    /// The process is about to stop.
+    Stop,
 }
 
+/// The routes in force, or why they could not be read.
+pub type PlanRead = Result<Option<StoredPlan>, RequestError>;
+
 /// A control VM's state, for people and metrics.
 #[derive(Clone, Debug, Default, serde::Serialize)]
 pub struct ServiceStatus {
@@ -83,9 +98,44 @@
     pub async fn change(&self, change: ConfigChange) -> Result<u64, RequestError> {
         let (reply, answer) = oneshot::channel();
         let _ = self.inbox.send(ServiceInput::Change(change, reply));
-        answer.await.unwrap_or_else(|_| {
-            Err(RequestError::new(ErrorKind::NoLeader, "the control thread has stopped"))
-        })
+        answer.await.unwrap_or_else(|_| Err(thread_stopped()))
+    }
+
+    /// Puts routes in force; returns the version that then is.
+    ///
+    /// # Errors
+    ///
+    /// `NoLeader` when no answer came in time.
+    pub async fn put_plan(&self, plan: StoredPlan) -> Result<u64, RequestError> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(ServiceInput::PutPlan(plan, reply));
+        answer.await.unwrap_or_else(|_| Err(thread_stopped()))
+    }
+
+    /// Reads the routes in force, none older than at the time of the call.
+    ///
+    /// # Errors
+    ///
+    /// `NoLeader` when no answer came in time.
+    pub async fn read_plan(&self) -> PlanRead {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(ServiceInput::ReadPlan(reply));
+        answer.await.unwrap_or_else(|_| Err(thread_stopped()))
+    }
+
+    /// Takes an announcement of an endpoint.
+    pub fn announce(&self, record: EndpointRecord) {
+        let _ = self.inbox.send(ServiceInput::Announce(record));
+    }
+
+    /// Takes word that an endpoint's life is over.
+    pub fn leave(&self, name: EndpointName) {
+        let _ = self.inbox.send(ServiceInput::Leave(name));
+    }
+
+    /// Tells the others that this process is about to stop.
+    pub fn stop(&self) {
+        let _ = self.inbox.send(ServiceInput::Stop);
     }
 
     /// The documents in force.
@@ -110,6 +160,10 @@
     }
 }
 
+fn thread_stopped() -> RequestError {
+    RequestError::new(ErrorKind::NoLeader, "the control thread has stopped")
+}
+
 /// Starts the control thread on a data folder.
 ///
 /// # Errors
@@ -118,6 +172,7 @@
 pub fn start(
     settings: ControlSettings,
     data_folder: PathBuf,
+    addresses: AddressBook,
     keys: LinkKeys,
     sockets: LinkSockets,
     clock: WallClock,
@@ -130,8 +185,7 @@
     }
     let (peer_sender, peer_inputs) = mpsc::unbounded_channel();
     let (inbox, inputs) = mpsc::unbounded_channel();
-    let layout = settings.layout.clone();
-    let link = move || PeerLink::start(&layout, &own, keys, sockets, peer_sender);
+    let link = move || PeerLink::start(addresses, &own, keys, sockets, peer_sender);
     let link = control_thread::start(link, move |link| {
         let host = ServiceHost {
             vm: settings.owner.vm.clone(),
@@ -140,6 +194,7 @@
             link,
             clock,
             calls: IndexMap::new(),
+            reads: IndexMap::new(),
             next_call: 0,
         };
         async move {
@@ -166,6 +221,7 @@
     link: PeerLink,
     clock: WallClock,
     calls: IndexMap<CallNumber, oneshot::Sender<Result<u64, RequestError>>>,
+    reads: IndexMap<CallNumber, oneshot::Sender<PlanRead>>,
     next_call: u64,
 }
 
@@ -188,11 +244,33 @@
     fn take_service(&mut self, input: ServiceInput) {
         match input {
             ServiceInput::Change(change, reply) => {
-                self.next_call += 1;
-                let number = CallNumber(self.next_call);
+                let number = self.next_number();
                 self.calls.insert(number, reply);
                 self.node.change(number, change, CHANGE_MS, self.clock.now());
             }
+            ServiceInput::PutPlan(plan, reply) => {
+                let number = self.next_number();
+                self.calls.insert(number, reply);
+                self.node.put_plan(number, plan, CHANGE_MS, self.clock.now());
+            }
+            ServiceInput::ReadPlan(reply) => {
+                let number = self.next_number();
+                self.reads.insert(number, reply);
+                self.node.read_plan(number, CHANGE_MS, self.clock.now());
+            }
+            ServiceInput::Announce(record) => {
+                let (name, leaving) = (record.name.clone(), record.leaving);
+                let change = self.node.announce(record, self.clock.now());
+                if change == DirectoryChange::Changed {
+                    info!("endpoint {name} announced, leaving: {leaving}");
+                }
+            }
+            ServiceInput::Leave(name) => {
+                if self.node.leave(&name, self.clock.now()) == DirectoryChange::Changed {
+                    info!("endpoint {name} is gone");
+                }
+            }
+            ServiceInput::Stop => self.node.stop(self.clock.now()),
             ServiceInput::Image(reply) => {
                 let _ = reply.send(self.node.state().image().clone());
             }
@@ -205,6 +283,11 @@
         }
     }
 
+    fn next_number(&mut self) -> CallNumber {
+        self.next_call += 1;
+        CallNumber(self.next_call)
+    }
+
     fn take_peer(&mut self, input: PeerInput) {
         let now = self.clock.now();
         match input {
@@ -212,6 +295,7 @@
             PeerInput::Datagram(from, datagram) => {
                 self.node.receive_datagram(&from, datagram, now);
             }
+            PeerInput::Broken(_) => {}
         }
     }
 
@@ -235,7 +319,19 @@
                 ControlEffect::SendDatagram(vm, datagram) => {
                     self.link.send_datagram(&vm, &datagram);
                 }
+                ControlEffect::Beat(vm, beat) => {
+                    self.link.send_datagram(&vm, &PeerDatagram::Beat(beat));
+                }
+                ControlEffect::EndRead(number, result) => {
+                    if let Some(reply) = self.reads.swap_remove(&number) {
+                        // The operator may have hung up and will ask again.
+                        let _ = reply.send(result);
+                    }
+                }
                 ControlEffect::EndChange(number, result) => {
+                    if let (Err(error), Some(reply)) = (&result, self.reads.swap_remove(&number)) {
+                        let _ = reply.send(Err(error.clone()));
+                    }
                     if let Some(reply) = self.calls.swap_remove(&number) {
                         // The operator may have hung up and will send the change again.
                         let _ = reply.send(result);
--- a/adapters/src/entry_control.rs
+++ b/adapters/src/entry_control.rs
@@ -22,7 +22,7 @@
 use crate::{
     control_thread::{self, ThreadInbox, ThreadInput},
     link_key::LinkKeys,
-    peer_link::{LinkSockets, PeerInput, PeerLink},
+    peer_link::{AddressBook, LinkSockets, PeerInput, PeerLink},
     wall_clock::WallClock,
 };
 
@@ -177,8 +177,8 @@
     let (ready_sender, ready) = watch::channel(Err(starting));
     let (peer_sender, peer_inputs) = mpsc::unbounded_channel();
     let own = settings.owner.vm.clone();
-    let layout = settings.layout.clone();
-    let link = move || PeerLink::start(&layout, &own, keys, sockets, peer_sender);
+    let addresses = AddressBook::listed(&settings.layout)?;
+    let link = move || PeerLink::start(addresses, &own, keys, sockets, peer_sender);
     let link = control_thread::start(link, move |link| {
         let host = ControlHost {
             vm: settings.owner.vm.clone(),
@@ -270,6 +270,7 @@
             PeerInput::Datagram(from, datagram) => {
                 self.node.receive_datagram(&from, datagram, now);
             }
+            PeerInput::Broken(_) => {}
         }
     }
 
--- a/adapters/src/lib.rs
+++ b/adapters/src/lib.rs
@@ -10,10 +10,12 @@
 #[expect(clippy::all, reason = "generated code")]
 #[rustfmt::skip]
 pub mod border_types;
+pub mod cell_service;
 pub mod connection_pool;
 pub mod control_http;
 pub mod control_service;
 mod control_thread;
+pub mod decision_log;
 pub mod endpoint_client;
 pub mod entry_control;
 pub mod entry_http;
--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -3,10 +3,12 @@
 //! A process keeps one connection to each other VM for what it sends and accepts one
 //! from each for what it receives. Messages to a VM stay in order while its connection
 //! lives; a broken connection loses what was on its way, which every protocol above
-//! tolerates. Frames are postcard with a length and a keyed hash.
+//! tolerates. A connection whose bytes are not acknowledged is given up, as one can go
+//! silent without a reset. Frames are postcard with a length and a keyed hash.
 
 use std::{
-    net::{self, SocketAddr},
+    io,
+    net::{self, IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
@@ -15,8 +17,11 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use indexmap::IndexMap;
+use log::debug;
 use serde::{Serialize, de::DeserializeOwned};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::AsyncReadExt,
     net::{TcpListener, TcpStream, UdpSocket},
     sync::mpsc,
     time,
@@ -38,6 +43,10 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause after a connection could not be made.
 const CONNECT_PAUSE: Duration = Duration::from_millis(50);
+/// Time without an acknowledgement after which a connection is given up.
+const SILENT_TIME: Duration = Duration::from_millis(900);
+/// Pause between probes of an idle connection.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 65_000;
 
@@ -48,6 +57,43 @@
     Message(VmName, PeerMessage),
     /// By UDP.
     Datagram(VmName, PeerDatagram),
+    /// A connection with a VM broke; what was on its way may be lost.
+    Broken(VmName),
+}
+
+/// Where VMs are reached.
+#[derive(Clone, Debug)]
+pub enum AddressBook {
+    /// These VMs and no others.
+    Listed(IndexMap<VmName, SocketAddr>),
+    /// Any VM, as its name is its IP; all use this port.
+    ByIp(u16),
+}
+
+impl AddressBook {
+    /// The VMs of a layout.
+    ///
+    /// # Errors
+    ///
+    /// When an address is malformed.
+    pub fn listed(layout: &VmLayout) -> anyhow::Result<AddressBook> {
+        let mut addresses = IndexMap::new();
+        for vm in layout.vms() {
+            let address: SocketAddr = vm.address.parse().context("a VM's address is IP:PORT")?;
+            addresses.insert(vm.name.clone(), address);
+        }
+        Ok(AddressBook::Listed(addresses))
+    }
+
+    fn address(&self, vm: &VmName) -> Option<SocketAddr> {
+        match self {
+            AddressBook::Listed(addresses) => addresses.get(vm).copied(),
+            AddressBook::ByIp(port) => {
+                let ip: IpAddr = vm.as_str().parse().ok()?;
+                Some(SocketAddr::new(ip, *port))
+            }
+        }
+    }
 }
 
 /// VMs with which nothing is exchanged, for trials of cut links.
@@ -110,7 +156,8 @@
     own: VmName,
     keys: Arc<LinkKeys>,
     senders: IndexMap<VmName, mpsc::Sender<Bytes>>,
-    addresses: Arc<IndexMap<VmName, SocketAddr>>,
+    addresses: Arc<AddressBook>,
+    inbox: mpsc::UnboundedSender<PeerInput>,
     socket: Arc<UdpSocket>,
     n_sent: u64,
     n_sent_bytes: u64,
@@ -124,35 +171,23 @@
     ///
     /// # Errors
     ///
-    /// When an address of the layout is malformed or the sockets cannot be used.
+    /// When the sockets cannot be used.
     pub fn start(
-        layout: &VmLayout,
+        addresses: AddressBook,
         own: &VmName,
         keys: LinkKeys,
         sockets: LinkSockets,
         inbox: mpsc::UnboundedSender<PeerInput>,
     ) -> anyhow::Result<PeerLink> {
-        let mut addresses = IndexMap::new();
-        for vm in layout.vms() {
-            let address: SocketAddr = vm.address.parse().context("a VM's address is IP:PORT")?;
-            addresses.insert(vm.name.clone(), address);
-        }
         let listener = TcpListener::from_std(sockets.listener)?;
         let socket = Arc::new(UdpSocket::from_std(sockets.socket)?);
         let keys = Arc::new(keys);
-        let mut senders = IndexMap::new();
-        for (vm, address) in &addresses {
-            if vm != own {
-                let (sender, waiting) = mpsc::channel(MAX_WAITING);
-                tokio::spawn(send_frames(*address, waiting));
-                senders.insert(vm.clone(), sender);
-            }
-        }
         let link = PeerLink {
             own: own.clone(),
             keys,
-            senders,
+            senders: IndexMap::new(),
             addresses: Arc::new(addresses),
+            inbox: inbox.clone(),
             socket,
             n_sent: 0,
             n_sent_bytes: 0,
@@ -177,12 +212,23 @@
         let frame = self.seal(message);
         self.n_sent += 1;
         self.n_sent_bytes += frame.len() as u64;
-        if let Some(sender) = self.senders.get(to) {
+        if let Some(sender) = self.sender(to) {
             // A full queue means that the VM cannot be reached: senders ask again.
             let _ = sender.try_send(Bytes::from(frame));
         }
     }
 
+    /// The queue of a VM's connection, made when it is first used.
+    fn sender(&mut self, to: &VmName) -> Option<&mpsc::Sender<Bytes>> {
+        if !self.senders.contains_key(to) {
+            let address = self.addresses.address(to).filter(|_| *to != self.own)?;
+            let (sender, waiting) = mpsc::channel(MAX_WAITING);
+            tokio::spawn(send_frames(to.clone(), address, waiting, self.inbox.clone()));
+            self.senders.insert(to.clone(), sender);
+        }
+        self.senders.get(to)
+    }
+
     /// Sends a message by UDP.
     pub fn send_datagram(&mut self, to: &VmName, datagram: &PeerDatagram) {
         if self.is_cut_to(to) {
@@ -191,9 +237,9 @@
         let frame = self.seal(datagram);
         self.n_sent += 1;
         self.n_sent_bytes += frame.len() as u64;
-        if let Some(address) = self.addresses.get(to) {
+        if let Some(address) = self.addresses.address(to) {
             // Datagrams may be lost anyway.
-            let _ = self.socket.try_send_to(&frame, *address);
+            let _ = self.socket.try_send_to(&frame, address);
         }
     }
 
@@ -206,7 +252,7 @@
     fn open<T: DeserializeOwned>(&self, sealed: &[u8]) -> Option<(VmName, T)> {
         let frame = self.keys.open(sealed)?;
         let (from, body): (VmName, T) = postcard::from_bytes(frame).ok()?;
-        let is_known = self.addresses.contains_key(&from) && !self.is_cut_from(&from);
+        let is_known = self.addresses.address(&from).is_some() && !self.is_cut_from(&from);
         is_known.then_some((from, body))
     }
 
@@ -236,7 +282,12 @@
 }
 
 /// Keeps a connection to `address` and writes what waits, as much as there is at once.
-async fn send_frames(address: SocketAddr, mut waiting: mpsc::Receiver<Bytes>) {
+async fn send_frames(
+    vm: VmName,
+    address: SocketAddr,
+    mut waiting: mpsc::Receiver<Bytes>,
+    inbox: mpsc::UnboundedSender<PeerInput>,
+) {
     while let Some(frame) = waiting.recv().await {
         let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = connecting else {
@@ -245,9 +296,12 @@
             time::sleep(CONNECT_PAUSE).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        // Every end of the connection is found by a failed write.
-        let _ = write_frames(stream, frame, &mut waiting).await;
+        prepare_stream(&stream);
+        if let Err(error) = write_frames(stream, frame, &mut waiting).await {
+            debug!("the connection to {vm} broke: {error}");
+        }
+        // A closed inbox means that the process ends.
+        let _ = inbox.send(PeerInput::Broken(vm.clone()));
     }
 }
 
@@ -256,14 +310,23 @@
     first: Bytes,
     waiting: &mut mpsc::Receiver<Bytes>,
 ) -> std::io::Result<()> {
-    let mut sink = FramedWrite::new(stream, frame_codec());
+    let (mut reader, writer) = stream.into_split();
+    let mut sink = FramedWrite::new(writer, frame_codec());
     sink.feed(first).await?;
+    let mut nothing = [0; 1];
     loop {
         while let Ok(frame) = waiting.try_recv() {
             sink.feed(frame).await?;
         }
         SinkExt::<Bytes>::flush(&mut sink).await?;
-        let Some(frame) = waiting.recv().await else { return Ok(()) };
+        // The other side never writes here: a read ends when the connection does.
+        let frame = tokio::select! {
+            frame = waiting.recv() => frame,
+            ended = reader.read(&mut nothing) => {
+                return Err(ended.err().unwrap_or_else(|| io::ErrorKind::ConnectionReset.into()));
+            }
+        };
+        let Some(frame) = frame else { return Ok(()) };
         sink.feed(frame).await?;
     }
 }
@@ -278,19 +341,41 @@
             time::sleep(CONNECT_PAUSE).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
+        prepare_stream(&stream);
         tokio::spawn(read_frames(stream, link.clone(), inbox.clone()));
     }
 }
 
 async fn read_frames(stream: TcpStream, link: PeerLink, inbox: mpsc::UnboundedSender<PeerInput>) {
     let mut frames = FramedRead::new(stream, frame_codec());
+    let mut sender = None;
     while let Some(Ok(sealed)) = frames.next().await {
         let Some((from, message)) = link.open(&sealed) else { continue };
+        if sender.is_none() {
+            sender = Some(VmName::clone(&from));
+        }
         if inbox.send(PeerInput::Message(from, message)).is_err() {
             return;
         }
     }
+    if let Some(vm) = sender {
+        // A closed inbox means that the process ends.
+        let _ = inbox.send(PeerInput::Broken(vm));
+    }
+}
+
+/// Sets what finds a dead connection and sends small frames at once.
+fn prepare_stream(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new().with_time(PROBE_PAUSE).with_interval(PROBE_PAUSE);
+    let set = socket
+        .set_tcp_nodelay(true)
+        .and_then(|()| socket.set_tcp_user_timeout(Some(SILENT_TIME)))
+        .and_then(|()| socket.set_tcp_keepalive(&probes));
+    if let Err(error) = set {
+        // Frames still flow; a silent connection is found later.
+        debug!("could not set socket options: {error}");
+    }
 }
 
 async fn receive_datagrams(link: PeerLink, inbox: mpsc::UnboundedSender<PeerInput>) {
--- a/adapters/tests/test_entry_http.rs
+++ b/adapters/tests/test_entry_http.rs
@@ -22,7 +22,7 @@
 };
 use yuccamux::{
     config_state::{ChangeAction, ConfigChange},
-    control_node::ControlSettings,
+    control_node::{ControlSettings, GroupRule},
     entry_node::EntrySettings,
     job_dispatcher::JobDispatcher,
     job_ledger::{LedgerLimits, OwnerId},
@@ -38,7 +38,7 @@
     http_server::{self, CloseConnection, HttpAnswer, HttpRequest, ServerLimits},
     job_traffic::JobTraffic,
     link_key::LinkKeys,
-    peer_link::LinkSockets,
+    peer_link::{AddressBook, LinkSockets},
     wall_clock::WallClock,
 };
 
@@ -78,14 +78,22 @@
         let settings = ControlSettings {
             owner: owner("control-1", &clock),
             layout: layout.clone(),
+            group_rule: GroupRule::Listed,
             election_ms: 100,
             heartbeat_ms: 30,
             seed: 1,
         };
         let keys = LinkKeys::without_secret();
         let path = folder.path().to_owned();
-        let service =
-            control_service::start(settings, path, keys.clone(), control_sockets, clock).unwrap();
+        let service = control_service::start(
+            settings,
+            path,
+            AddressBook::listed(&layout).unwrap(),
+            keys.clone(),
+            control_sockets,
+            clock,
+        )
+        .unwrap();
         let settings = EntrySettings {
             owner: owner("entry-1", &clock),
             layout,
--- a/adapters/tests/test_log_store.rs
+++ b/adapters/tests/test_log_store.rs
@@ -13,7 +13,14 @@
 
 fn hard(term: u64) -> HardState {
     let id = ReplicaId { vm: VmName::from("control-1"), incarnation: 7 };
-    HardState { id, generation: Some(GenerationId(1)), pledged: None, term, vote: None }
+    HardState {
+        id,
+        generation: Some(GenerationId(1)),
+        pledged: None,
+        term,
+        vote: None,
+        vms: Vec::new(),
+    }
 }
 
 fn entry(index: u64) -> LogEntry {
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -6,12 +6,18 @@
 use argh::FromArgs;
 use log::info;
 use tokio::sync::watch;
-use yuccamux::{control_node::ControlSettings, job_ledger::OwnerId, prelude::*, vm_layout::VmRole};
+use yuccamux::{
+    control_node::{ControlSettings, GroupRule},
+    job_ledger::OwnerId,
+    prelude::*,
+    vm_layout::VmRole,
+};
 use yuccamux_adapters::{
     control_http::ControlHttp,
     control_service,
     http_server::{self, ServerLimits},
     log_lines::{self, LogForm},
+    peer_link::AddressBook,
     process_setup,
     setting_args::{self, ProgramSettings},
     wall_clock::WallClock,
@@ -93,15 +99,18 @@
     info!("starts as {vm}: {args:?}");
     let sockets = process_setup::bind_links(&layout, &vm)?;
     let clock = WallClock::new();
+    let addresses = AddressBook::listed(&layout)?;
     let settings = ControlSettings {
         owner: OwnerId { vm, incarnation: clock.started_at().0 },
         layout,
+        group_rule: GroupRule::Listed,
         election_ms: args.election_ms,
         heartbeat_ms: args.heartbeat_ms,
         seed: rand::random(),
     };
-    let service = control_service::start(settings, args.data_folder, keys, sockets, clock)
-        .context("could not start the configuration log")?;
+    let service =
+        control_service::start(settings, args.data_folder, addresses, keys, sockets, clock)
+            .context("could not start the configuration log")?;
     let limits = ServerLimits::default();
     let http = ControlHttp { service, limits, operators };
     let listener = process_setup::bind_http(args.listen).await?;
--- /dev/null
+++ b/lib/src/cell/cell_message.rs
@@ -0,0 +1,89 @@
+//! Messages about cells, endpoints and plans between the system's processes.
+
+use std::fmt;
+
+use crate::{
+    cell::{
+        endpoint_directory::EndpointRecord,
+        job_offer::{JobCode, JobOffer, JobVerdict},
+        route_plan::RoutePlan,
+    },
+    config_state::ControlGroup,
+    job_ledger::OwnerId,
+    prelude::*,
+    vm_layout::VmRole,
+};
+
+/// Name of a cell.
+#[derive(Id!)]
+pub struct CellName {
+    /// Service of its endpoints.
+    pub service: String,
+    /// Their data centre.
+    pub centre: DataCentre,
+    /// Their rack.
+    pub rack: String,
+}
+
+impl fmt::Display for CellName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.service, self.centre, self.rack)
+    }
+}
+
+/// A message by TCP.
+#[derive(Data!)]
+pub enum CellMessage {
+    /// Run this job in a cell that the receiver leads.
+    Offer(CellName, JobOffer),
+    /// How a job ended.
+    Ended(CellName, JobCode, JobVerdict),
+    /// The caller of a job has left.
+    Withdraw(JobCode),
+    /// Lead this cell, which the sender led with this token.
+    Cede(CellName, u64),
+    /// Endpoints, and whether their life is over.
+    Endpoints(Vec<(EndpointRecord, bool)>),
+    /// The sender knows no endpoints.
+    EndpointsAsk,
+    /// The routes in force.
+    Plan(RoutePlan),
+}
+
+/// What a leader tells of a cell.
+#[derive(Data!)]
+pub struct CellReport {
+    /// The cell.
+    pub cell: CellName,
+    /// Token of the leader.
+    pub token: u64,
+    /// Processor offered by endpoints that take work, in thousandths of a core.
+    pub cpu: u64,
+    /// Processor that is free, in thousandths of a core.
+    pub free_cpu: u64,
+    /// Work that waits, in ms of thousandths of a core.
+    pub queued_work: u64,
+}
+
+/// What a process tells of itself, by UDP.
+#[derive(Data!)]
+pub struct PeerBeat {
+    /// Its VM and life.
+    pub owner: OwnerId,
+    /// What it runs.
+    pub role: VmRole,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Processor share, in thousandths of a core.
+    pub weight: u64,
+    /// Version of the routes in force there.
+    pub plan_version: u64,
+    /// Whether it stops.
+    pub stopping: bool,
+    /// VMs that it hears; told by control VMs only.
+    pub members: Vec<VmName>,
+    /// The control group as its members know it; told by control VMs only.
+    pub group: ControlGroup,
+    /// Cells that it leads.
+    pub cells: Vec<CellReport>,
+}
--- /dev/null
+++ b/lib/src/cell/endpoint_directory.rs
@@ -0,0 +1,201 @@
+//! The endpoints, as they announce themselves.
+//!
+//! A control VM takes announcements and spreads what changed; entries merge what
+//! several control VMs tell. Of two announcements of one life the one with the higher
+//! number is newer; a later life replaces an earlier one, under the same name or at
+//! the same address. Leaving is final for a life.
+
+use indexmap::IndexMap;
+
+use crate::{cell::job_offer::ResourceRoom, prelude::*};
+
+/// An endpoint as it announced itself.
+#[derive(Data!)]
+pub struct EndpointRecord {
+    /// Its name.
+    pub name: EndpointName,
+    /// When this life began, in its own ms since the Unix epoch.
+    pub born: u64,
+    /// Number of the announcement, growing within a life.
+    pub seq: u64,
+    /// Service that it belongs to.
+    pub service: String,
+    /// IP and port for orders.
+    pub address: String,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Rack, or empty when it names none.
+    pub rack: String,
+    /// Labels.
+    pub labels: Vec<String>,
+    /// What it offers.
+    pub room: ResourceRoom,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+impl EndpointRecord {
+    /// Whether this announcement is newer than `known`, of the same endpoint.
+    fn is_newer_than(&self, known: &EndpointRecord) -> bool {
+        (known.born, known.seq) < (self.born, self.seq)
+    }
+
+    /// Whether both say the same apart from the number.
+    fn says_same(&self, other: &EndpointRecord) -> bool {
+        let EndpointRecord { seq: _, .. } = self;
+        let numbered = EndpointRecord { seq: self.seq, ..other.clone() };
+        numbered == *self
+    }
+}
+
+/// What a merge did to the directory.
+#[derive(Data!, Copy)]
+pub enum DirectoryChange {
+    /// Nothing that matters to placement.
+    Same,
+    /// An endpoint is new, changed, leaves or began another life.
+    Changed,
+}
+
+/// An endpoint with what is known of its announcements.
+#[derive(Data!)]
+pub struct DirectoryEntry {
+    /// Its last announcement.
+    pub record: EndpointRecord,
+    /// Whether this life has ended.
+    pub gone: bool,
+    /// When it was last announced or told of.
+    pub heard_at: ClockTime,
+    /// When it was last told to others; zero when that is still to be done.
+    pub told_at: ClockTime,
+    /// Whether the endpoint itself told of this announcement.
+    pub is_first_hand: bool,
+}
+
+/// All endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointDirectory {
+    entries: IndexMap<EndpointName, DirectoryEntry>,
+}
+
+impl EndpointDirectory {
+    /// Every endpoint, also those that are gone.
+    pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
+        self.entries.values()
+    }
+
+    /// Endpoints whose life goes on.
+    pub fn living(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.entries.values().filter(|it| !it.gone).map(|it| &it.record)
+    }
+
+    /// An endpoint by name.
+    pub fn entry(&self, name: &EndpointName) -> Option<&DirectoryEntry> {
+        self.entries.get(name)
+    }
+
+    /// Takes an announcement.
+    pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> DirectoryChange {
+        self.take(record, true, now)
+    }
+
+    fn take(
+        &mut self,
+        mut record: EndpointRecord,
+        is_first_hand: bool,
+        now: ClockTime,
+    ) -> DirectoryChange {
+        let usurped = self.entries.values().any(|it| {
+            it.record.address == record.address
+                && it.record.name != record.name
+                && record.born < it.record.born
+        });
+        if usurped {
+            return DirectoryChange::Same;
+        }
+        let mut change = DirectoryChange::Changed;
+        let mut told_at = ClockTime::default();
+        if let Some(known) = self.entries.get_mut(&record.name) {
+            if !record.is_newer_than(&known.record) {
+                if record.born == known.record.born && !known.gone {
+                    known.heard_at = now;
+                }
+                return DirectoryChange::Same;
+            }
+            if record.born == known.record.born {
+                if known.gone {
+                    return DirectoryChange::Same;
+                }
+                record.leaving |= known.record.leaving;
+                if record.says_same(&known.record) {
+                    change = DirectoryChange::Same;
+                    told_at = known.told_at;
+                }
+            }
+        }
+        self.end_others_at(&record);
+        let entry = DirectoryEntry { gone: false, heard_at: now, told_at, is_first_hand, record };
+        self.entries.insert(entry.record.name.clone(), entry);
+        change
+    }
+
+    fn end_others_at(&mut self, record: &EndpointRecord) {
+        for (name, entry) in &mut self.entries {
+            if *name != record.name && entry.record.address == record.address {
+                entry.gone = true;
+            }
+        }
+    }
+
+    /// Takes word that an endpoint's present life is over.
+    pub fn leave(&mut self, name: &EndpointName, born: Option<u64>) -> DirectoryChange {
+        match self.entries.get_mut(name) {
+            Some(entry) if !entry.gone && born.is_none_or(|it| entry.record.born <= it) => {
+                entry.gone = true;
+                entry.told_at = ClockTime::default();
+                DirectoryChange::Changed
+            }
+            _ => DirectoryChange::Same,
+        }
+    }
+
+    /// Takes what a peer told of an endpoint.
+    pub fn merge(&mut self, record: EndpointRecord, gone: bool, now: ClockTime) -> DirectoryChange {
+        let (name, born) = (record.name.clone(), record.born);
+        let announced = self.take(record, false, now);
+        if gone { self.leave(&name, Some(born)) } else { announced }
+    }
+
+    /// Endpoints to tell others of: changed ones, and the living each `repeat_ms`.
+    pub fn take_news(&mut self, repeat_ms: u64, now: ClockTime) -> Vec<(EndpointRecord, bool)> {
+        let mut news = Vec::new();
+        for entry in self.entries.values_mut() {
+            let is_heard = now.since_ms(entry.heard_at) < repeat_ms;
+            let is_due = repeat_ms <= now.since_ms(entry.told_at);
+            let is_repeat = is_due && is_heard && !entry.gone && entry.is_first_hand;
+            if is_repeat || entry.told_at == ClockTime::default() {
+                entry.told_at = now;
+                news.push((entry.record.clone(), entry.gone));
+            }
+        }
+        news
+    }
+
+    /// Everything, for a peer that knows nothing.
+    pub fn everything(&self) -> Vec<(EndpointRecord, bool)> {
+        self.entries.values().map(|it| (it.record.clone(), it.gone)).collect()
+    }
+
+    /// Forgets endpoints not heard of within `span_ms`; returns their names.
+    pub fn expire(&mut self, span_ms: u64, now: ClockTime) -> Vec<EndpointName> {
+        let is_old = |it: &DirectoryEntry| span_ms < now.since_ms(it.heard_at);
+        let old: Vec<EndpointName> = self
+            .entries
+            .iter()
+            .filter(|(_, it)| is_old(it))
+            .map(|(name, _)| name.clone())
+            .collect();
+        self.entries.retain(|_, it| !is_old(it));
+        old
+    }
+}
--- /dev/null
+++ b/lib/src/cell/endpoint_state.rs
@@ -0,0 +1,203 @@
+//! An endpoint as its cell's leader sees it: runs, lease, clock and health.
+
+use indexmap::IndexMap;
+
+use crate::{
+    cell::{
+        endpoint_directory::EndpointRecord,
+        endpoint_order::OrderNumber,
+        job_offer::{ResourceRoom, TaskRef},
+        run_forecast::EndpointPace,
+    },
+    prelude::*,
+};
+
+/// Slowest an endpoint's steady clock may go against ours, in thousandths.
+const CLOCK_RATE_MILLI: u64 = 980;
+/// Margin on an endpoint's clock before a lease counts as run out, in ms: link delays.
+const LAPSE_MARGIN_MS: u64 = 30;
+/// Failures in a row after which an endpoint gets no work for a time; one may be a task's own.
+const QUARANTINE_FAILURES: u32 = 2;
+/// First quarantine, in ms: a few tasks long. Each further one is twice as long.
+const QUARANTINE_MS: u64 = 400;
+/// Doublings of the quarantine: 6.4 s at most, so that a recovered endpoint is soon used.
+const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// Its start has no answer yet.
+    Ordered,
+    /// It is at work, as its start's answer or a list told.
+    Working,
+    /// Its start has no answer and may be carried out late.
+    Doubted,
+    /// A stop was sent; when it was acknowledged, and whether the run was seen at work.
+    Stopping {
+        /// When the endpoint acknowledged the stop.
+        acked_at: Option<ClockTime>,
+        /// Whether the run was seen at work.
+        was_seen: bool,
+    },
+    /// It was ordered by a former leader, and no job claims it yet.
+    Orphan,
+}
+
+/// A run on an endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointRun {
+    /// Number of the run.
+    pub(crate) run: u32,
+    /// What it takes.
+    pub(crate) need: ResourceRoom,
+    /// Where it stands.
+    pub(crate) phase: RunPhase,
+    /// When the phase began.
+    pub(crate) since: ClockTime,
+    /// When it was ordered or first seen.
+    pub(crate) ordered_at: ClockTime,
+    /// Run time that was predicted, in ms.
+    pub(crate) predicted_ms: u64,
+    /// When its last order was sent.
+    pub(crate) sent_at: ClockTime,
+}
+
+/// A look that has no answer yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingLook {
+    /// Its number.
+    pub(crate) number: OrderNumber,
+    /// When it was sent.
+    pub(crate) sent_at: ClockTime,
+}
+
+/// An endpoint of a cell.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointState {
+    /// Its announcement.
+    pub(crate) record: EndpointRecord,
+    /// Whether this life has accepted the leader's token.
+    pub(crate) claimed: bool,
+    /// Its clock when it last told it, and our time then.
+    pub(crate) clock: Option<(u64, ClockTime)>,
+    /// Latest lease that was sent, on its clock.
+    pub(crate) lease_until: u64,
+    /// Runs that take room there.
+    pub(crate) runs: IndexMap<TaskRef, EndpointRun>,
+    /// Last end that was processed.
+    pub(crate) cursor: u64,
+    /// Whether ends were processed that it may not have forgotten yet.
+    pub(crate) owes_cursor: bool,
+    /// The look on its way.
+    pub(crate) look: Option<PendingLook>,
+    /// Orders without an answer since the last one.
+    pub(crate) n_silent: u32,
+    /// Before this time it gets no order.
+    pub(crate) retry_at: ClockTime,
+    /// Before this time it gets no start.
+    pub(crate) start_at: ClockTime,
+    /// Its speed.
+    pub(crate) pace: EndpointPace,
+    /// Runs that failed since the last that was done.
+    pub(crate) n_failed: u32,
+    /// Whether it has to prove itself with one run before it gets more.
+    pub(crate) on_probation: bool,
+    n_quarantines: u32,
+}
+
+impl EndpointState {
+    /// An endpoint of which only the announcement is known.
+    pub(crate) fn new(record: EndpointRecord) -> EndpointState {
+        EndpointState {
+            record,
+            claimed: false,
+            clock: None,
+            lease_until: 0,
+            runs: IndexMap::new(),
+            cursor: 0,
+            owes_cursor: false,
+            look: None,
+            n_silent: 0,
+            retry_at: ClockTime::default(),
+            start_at: ClockTime::default(),
+            pace: EndpointPace::default(),
+            n_failed: 0,
+            on_probation: false,
+            n_quarantines: 0,
+        }
+    }
+
+    /// Room that no run takes.
+    pub(crate) fn free_room(&self) -> ResourceRoom {
+        let taken =
+            self.runs.values().fold(ResourceRoom::default(), |taken, run| taken.plus(&run.need));
+        self.record.room.minus(&taken)
+    }
+
+    /// Whether it may be given a start.
+    pub(crate) fn takes_starts(&self, now: ClockTime) -> bool {
+        self.claimed
+            && !self.record.leaving
+            && self.n_silent == 0
+            && self.clock.is_some()
+            && self.start_at <= now
+            && self.retry_at <= now
+            && (!self.on_probation || self.runs.is_empty())
+    }
+
+    /// Lowest reading that its clock can have now.
+    pub(crate) fn clock_now(&self, now: ClockTime) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.since_ms(at) * CLOCK_RATE_MILLI / 1000)
+    }
+
+    /// A lease of `span_ms` from now, on its clock; noted as sent.
+    pub(crate) fn extend_lease(&mut self, span_ms: u64, now: ClockTime) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let until = clock + now.since_ms(at) + span_ms;
+        self.lease_until = self.lease_until.max(until);
+        Some(until)
+    }
+
+    /// Whether every lease that was sent has run out there.
+    pub(crate) fn lease_is_over(&self, now: ClockTime) -> bool {
+        self.clock_now(now).is_some_and(|it| self.lease_until + LAPSE_MARGIN_MS < it)
+    }
+
+    /// Notes an answer.
+    pub(crate) fn hear(&mut self, clock: u64, now: ClockTime) {
+        self.clock = Some((clock, now));
+        self.n_silent = 0;
+    }
+
+    /// Notes a run that was done; returns whether the endpoint was on probation.
+    pub(crate) fn note_done(&mut self) -> bool {
+        self.n_failed = 0;
+        self.n_quarantines = 0;
+        std::mem::take(&mut self.on_probation)
+    }
+
+    /// Notes a failure; returns the length of a quarantine that begins.
+    pub(crate) fn note_failure(&mut self, now: ClockTime) -> Option<u64> {
+        self.n_failed += 1;
+        if self.n_failed < QUARANTINE_FAILURES && !self.on_probation {
+            return None;
+        }
+        let span_ms = QUARANTINE_MS << self.n_quarantines.min(MAX_QUARANTINE_DOUBLINGS);
+        self.n_quarantines += 1;
+        self.on_probation = true;
+        self.start_at = self.start_at.max(now.plus_ms(span_ms));
+        Some(span_ms)
+    }
+
+    /// Forgets what belongs to a former life.
+    pub(crate) fn begin_life(&mut self) {
+        self.claimed = false;
+        self.clock = None;
+        self.lease_until = 0;
+        self.cursor = 0;
+        self.owes_cursor = false;
+        self.look = None;
+        self.n_silent = 0;
+    }
+}
--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -11,7 +11,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{prelude::*, workspace_template};
+use crate::{cell::route_plan::RoutePlan, prelude::*, workspace_template};
 
 /// Change ids whose first answer is kept.
 const MAX_KEPT_ANSWERS: usize = 10_000;
@@ -61,6 +61,30 @@
     Change(ConfigChange, ClockTime),
     /// Note that a data centre's ledger was founded.
     Founding(DataCentre, GenerationId),
+    /// Put routes in force unless a plan of their version or a higher one is.
+    PutPlan(StoredPlan),
+    /// Tell the plan in force, as of this place in the log.
+    ReadPlan,
+    /// Change the VMs of the control group, by one more or one less.
+    SetGroup(Vec<VmName>),
+}
+
+/// Routes with the text that they came in.
+#[derive(Data!)]
+pub struct StoredPlan {
+    /// The routes.
+    pub plan: RoutePlan,
+    /// The text, as an operator sent it.
+    pub source: String,
+}
+
+/// The VMs of the control group as of a change.
+#[derive(Data!, Default)]
+pub struct ControlGroup {
+    /// Number of the change.
+    pub version: u64,
+    /// The VMs; empty before the first change.
+    pub vms: Vec<VmName>,
 }
 
 /// The answer to a command.
@@ -72,6 +96,12 @@
     Refused(RequestError),
     /// The founding is the first that the control group knows of, or a later one.
     Founding(FoundingRank),
+    /// Version of the plan in force after a put.
+    PlanKept(u64),
+    /// The plan in force.
+    PlanRead(Option<StoredPlan>),
+    /// The group was changed.
+    GroupSet,
 }
 
 /// Whether a ledger's founding was its data centre's first.
@@ -177,6 +207,8 @@
     answers: IndexMap<String, ConfigAnswer>,
     history: Vec<ChangeRecord>,
     foundings: IndexMap<DataCentre, GenerationId>,
+    plan: Option<StoredPlan>,
+    group: ControlGroup,
 }
 
 impl ConfigState {
@@ -199,6 +231,16 @@
         &self.image
     }
 
+    /// The routes in force.
+    pub fn plan(&self) -> Option<&StoredPlan> {
+        self.plan.as_ref()
+    }
+
+    /// The control group as of its last change.
+    pub fn group(&self) -> &ControlGroup {
+        &self.group
+    }
+
     /// Accepted changes that are kept, oldest first.
     pub fn history(&self) -> &[ChangeRecord] {
         &self.history
@@ -209,7 +251,22 @@
         match command {
             ConfigCommand::Change(change, at) => self.change(change, at),
             ConfigCommand::Founding(centre, generation) => self.note_founding(centre, generation),
+            ConfigCommand::PutPlan(plan) => ConfigAnswer::PlanKept(self.put_plan(plan)),
+            ConfigCommand::ReadPlan => ConfigAnswer::PlanRead(self.plan.clone()),
+            ConfigCommand::SetGroup(vms) => {
+                self.group = ControlGroup { version: self.group.version + 1, vms };
+                ConfigAnswer::GroupSet
+            }
+        }
+    }
+
+    /// The first plan of a version stays, so that what was read once is not replaced.
+    fn put_plan(&mut self, put: StoredPlan) -> u64 {
+        let kept = self.plan.as_ref().map(|it| it.plan.version);
+        if kept.is_none_or(|it| it < put.plan.version) {
+            self.plan = Some(put);
         }
+        self.plan.as_ref().map_or(0, |it| it.plan.version)
     }
 
     fn note_founding(&mut self, centre: DataCentre, generation: GenerationId) -> ConfigAnswer {
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -7,7 +7,16 @@
 use indexmap::IndexMap;
 
 use crate::{
-    config_state::{ConfigAnswer, ConfigChange, ConfigCommand, ConfigImage, ConfigState},
+    cell::{
+        cell_message::{CellMessage, PeerBeat},
+        control_desk::ControlDesk,
+        control_group::{self, GroupCandidate},
+        endpoint_directory::{DirectoryChange, EndpointRecord},
+    },
+    config_state::{
+        ConfigAnswer, ConfigChange, ConfigCommand, ConfigImage, ConfigState, ControlGroup,
+        StoredPlan,
+    },
     entry_node::CallNumber,
     job_dispatcher::PeerLoad,
     job_ledger::OwnerId,
@@ -26,14 +35,36 @@
 const COMPACT_ENTRIES: usize = 256;
 /// Time between heartbeats to other VMs, in ms.
 const HEARTBEAT_MS: u64 = 500;
+/// Time between two changes of the group, in ms: the newcomer catches up meanwhile.
+const GROUP_PAUSE_MS: u64 = 400;
+/// Time after which a plan is sent again to an entry that lags, in ms.
+const PLAN_RESEND_MS: u64 = 200;
+
+/// How the control group's VMs are known.
+#[derive(Data!)]
+pub enum GroupRule {
+    /// All are listed in the layout.
+    Listed,
+    /// The group is founded by these VMs, if any, and grows to this many.
+    Grown {
+        /// VMs that found the group at the first start; empty at any other.
+        founders: Vec<VmName>,
+        /// Control VMs to ask for the group.
+        seeds: Vec<VmName>,
+        /// VMs that the group should have.
+        n_wanted: usize,
+    },
+}
 
 /// Settings of a control VM.
 #[derive(Data!)]
 pub struct ControlSettings {
     /// This process.
     pub owner: OwnerId,
-    /// All VMs.
+    /// All VMs that are known at the start.
     pub layout: VmLayout,
+    /// How the group's VMs are known.
+    pub group_rule: GroupRule,
     /// Shortest silence of a leader before an election, in ms.
     pub election_ms: u64,
     /// Time between a leader's heartbeats, in ms.
@@ -53,6 +84,10 @@
     SendDatagram(VmName, PeerDatagram),
     /// A change was answered.
     EndChange(CallNumber, Result<u64, RequestError>),
+    /// The plan was read.
+    EndRead(CallNumber, Result<Option<StoredPlan>, RequestError>),
+    /// Send a message about cells by TCP, after all else.
+    Beat(VmName, PeerBeat),
     /// The role has changed.
     Role(ReplicaRole),
     /// A configuration version is in force here.
@@ -70,6 +105,13 @@
     peers: PeerTable,
     pushed_version: u64,
     heartbeat_at: ClockTime,
+    desk: ControlDesk,
+    pushed_plan: u64,
+    plan_sent: IndexMap<VmName, (u64, ClockTime)>,
+    group_at: ClockTime,
+    seen_group: u64,
+    applied_group: u64,
+    stopping: bool,
     effects: Vec<ControlEffect>,
 }
 
@@ -86,11 +128,17 @@
     ) -> ControlNode {
         let own = settings.layout.vm(&settings.owner.vm).expect("the layout names this VM");
         let centre = own.centre.clone();
-        let group_vms = settings.layout.with_role(VmRole::Control);
+        let (group_vms, founding_rule) = match &settings.group_rule {
+            GroupRule::Listed => (settings.layout.with_role(VmRole::Control), FoundingRule::All),
+            GroupRule::Grown { founders, .. } if founders.contains(&settings.owner.vm) => {
+                (founders.clone(), FoundingRule::All)
+            }
+            GroupRule::Grown { founders, .. } => (founders.clone(), FoundingRule::Never),
+        };
         let replica_settings = ReplicaSettings {
             vms: group_vms.clone(),
             witness: None,
-            founding_rule: FoundingRule::All,
+            founding_rule,
             snapshot_rule: SnapshotRule::Kept,
             election_ms: settings.election_ms,
             heartbeat_ms: settings.heartbeat_ms,
@@ -111,7 +159,16 @@
             encode: Box::new(ConfigState::encode),
             decode: Box::new(|bytes| ConfigState::decode(bytes).ok()),
         };
+        let desk = ControlDesk::new(settings.owner.clone(), centre.clone());
+        let group_vms = node.vms().to_vec();
         let mut control = ControlNode {
+            desk,
+            pushed_plan: 0,
+            plan_sent: IndexMap::new(),
+            group_at: now,
+            seen_group: 0,
+            applied_group: 0,
+            stopping: false,
             client: ProposalClient::new(now.0 << 20),
             settings,
             centre,
@@ -155,8 +212,21 @@
         span_ms: u64,
         now: ClockTime,
     ) {
-        let command = ConfigCommand::Change(change, now);
-        let bytes = postcard::to_stdvec(&command).unwrap_or_default();
+        self.begin(number, &ConfigCommand::Change(change, now), span_ms, now);
+    }
+
+    /// Begins to put routes in force; the version then in force comes as an effect.
+    pub fn put_plan(&mut self, number: CallNumber, plan: StoredPlan, span_ms: u64, now: ClockTime) {
+        self.begin(number, &ConfigCommand::PutPlan(plan), span_ms, now);
+    }
+
+    /// Begins to read the routes in force, as of a place in the log that follows this call.
+    pub fn read_plan(&mut self, number: CallNumber, span_ms: u64, now: ClockTime) {
+        self.begin(number, &ConfigCommand::ReadPlan, span_ms, now);
+    }
+
+    fn begin(&mut self, number: CallNumber, command: &ConfigCommand, span_ms: u64, now: ClockTime) {
+        let bytes = postcard::to_stdvec(command).unwrap_or_default();
         let group = GroupName::from(CONTROL_GROUP);
         let request = GroupRequest::Propose(bytes);
         let deadline = now.plus_ms(span_ms);
@@ -189,7 +259,16 @@
             }
             PeerMessage::Proposed(request, answer) => self.take_answer(request, from, answer, now),
             PeerMessage::ConfigPull(version) => self.push_config(from, version),
-            PeerMessage::Await(..)
+            PeerMessage::Cell(CellMessage::Endpoints(records)) => {
+                self.desk.merge(records, now);
+                self.tell_news(now);
+            }
+            PeerMessage::Cell(CellMessage::EndpointsAsk) => {
+                let message = PeerMessage::Cell(self.desk.everything());
+                self.effects.push(ControlEffect::Send(from.clone(), message));
+            }
+            PeerMessage::Cell(_)
+            | PeerMessage::Await(..)
             | PeerMessage::Awaited(..)
             | PeerMessage::Cancel(_)
             | PeerMessage::Lease(_)
@@ -212,9 +291,13 @@
         let Some(RequestEnd::Applied(bytes)) = end else { return };
         let Some(number) = self.calls.swap_remove(&request) else { return };
         let result = match postcard::from_bytes(&bytes) {
-            Ok(ConfigAnswer::Accepted(version)) => Ok(version),
+            Ok(ConfigAnswer::PlanRead(plan)) => {
+                self.effects.push(ControlEffect::EndRead(number, Ok(plan)));
+                return;
+            }
+            Ok(ConfigAnswer::Accepted(version) | ConfigAnswer::PlanKept(version)) => Ok(version),
             Ok(ConfigAnswer::Refused(error)) => Err(error),
-            Ok(ConfigAnswer::Founding(_)) | Err(_) => {
+            Ok(ConfigAnswer::Founding(_) | ConfigAnswer::GroupSet) | Err(_) => {
                 Err(RequestError::new(ErrorKind::Internal, "the answer is not one to a change"))
             }
         };
@@ -223,6 +306,12 @@
 
     /// Takes a message that came by UDP.
     pub fn receive_datagram(&mut self, from: &VmName, datagram: PeerDatagram, now: ClockTime) {
+        if let PeerDatagram::Beat(beat) = datagram {
+            if beat.owner.vm == *from {
+                self.take_beat(beat, now);
+            }
+            return;
+        }
         if let PeerDatagram::Heartbeat(heartbeat) = datagram
             && heartbeat.owner.vm == *from
         {
@@ -252,10 +341,170 @@
         }
         if self.heartbeat_at <= now {
             self.heartbeat_at = now.plus_ms(HEARTBEAT_MS);
-            self.send_heartbeats();
+            match self.settings.group_rule {
+                GroupRule::Listed => self.send_heartbeats(),
+                GroupRule::Grown { .. } => self.send_beats(now),
+            }
+            self.tell_news(now);
+        }
+        self.change_group(now);
+    }
+
+    /// Takes an announcement of an endpoint.
+    pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> DirectoryChange {
+        let change = self.desk.announce(record, now);
+        if change == DirectoryChange::Changed {
+            self.tell_news(now);
+        }
+        change
+    }
+
+    /// Takes word that an endpoint's life is over.
+    pub fn leave(&mut self, name: &EndpointName, now: ClockTime) -> DirectoryChange {
+        let change = self.desk.leave(name);
+        if change == DirectoryChange::Changed {
+            self.tell_news(now);
+        }
+        change
+    }
+
+    /// Endpoints and VMs as known here.
+    pub fn desk(&self) -> &ControlDesk {
+        &self.desk
+    }
+
+    /// Tells the others that this VM stops.
+    pub fn stop(&mut self, now: ClockTime) {
+        self.stopping = true;
+        self.group.hand_over();
+        self.send_beats(now);
+    }
+
+    fn tell_news(&mut self, now: ClockTime) {
+        for (vm, message) in self.desk.take_news(now) {
+            self.effects.push(ControlEffect::Send(vm, PeerMessage::Cell(message)));
+        }
+    }
+
+    fn take_beat(&mut self, beat: PeerBeat, now: ClockTime) {
+        let vm = beat.owner.vm.clone();
+        let (role, version, group) = (beat.role, beat.plan_version, beat.group.clone());
+        if self.desk.take_beat(beat, now) {
+            let message = PeerMessage::Cell(self.desk.everything());
+            self.effects.push(ControlEffect::Send(vm.clone(), message));
+        }
+        if role == VmRole::Entry && self.node().role() == ReplicaRole::Leader {
+            self.push_plan(&vm, version, now);
+        }
+        if role == VmRole::Control {
+            self.follow_group(&group, now);
         }
     }
 
+    /// Follows a change of the group that this VM's own log does not have.
+    fn follow_group(&mut self, group: &ControlGroup, now: ClockTime) {
+        let own = self.state().group().version;
+        if group.version <= own || group.version <= self.seen_group {
+            return;
+        }
+        self.seen_group = group.version;
+        let is_member = group.vms.contains(&self.settings.owner.vm);
+        let has_log = self.node().role() != ReplicaRole::Fresh;
+        if is_member && has_log {
+            // The change comes by the log.
+            return;
+        }
+        if has_log {
+            self.group.leave_group(now);
+        }
+        self.group.set_vms(&group.vms);
+        self.group_vms = group.vms.clone();
+    }
+
+    /// Sends the plan to an entry that has only `version`.
+    fn push_plan(&mut self, vm: &VmName, version: u64, now: ClockTime) {
+        let Some(stored) = self.group.state().plan() else { return };
+        // A version of zero may be the first that was put.
+        if stored.plan.version <= version && version != 0 {
+            return;
+        }
+        let sent = self.plan_sent.get(vm);
+        let is_sent = |(sent, at): &(u64, ClockTime)| {
+            *sent == stored.plan.version && now.since_ms(*at) < PLAN_RESEND_MS
+        };
+        if sent.is_some_and(is_sent) {
+            return;
+        }
+        self.plan_sent.insert(vm.clone(), (stored.plan.version, now));
+        let message = PeerMessage::Cell(CellMessage::Plan(stored.plan.clone()));
+        self.effects.push(ControlEffect::Send(vm.clone(), message));
+    }
+
+    /// Pushes a plan to every entry as soon as it is applied by the leader.
+    fn push_new_plan(&mut self, now: ClockTime) {
+        let version = self.group.state().plan().map_or(0, |it| it.plan.version);
+        if version <= self.pushed_plan {
+            return;
+        }
+        self.pushed_plan = version;
+        self.effects.push(ControlEffect::Version(version));
+        if self.node().role() == ReplicaRole::Leader {
+            let entries = self.desk.living(now).filter(|(it, _)| it.role == VmRole::Entry);
+            let vms: Vec<VmName> = entries.map(|(it, _)| it.owner.vm.clone()).collect();
+            for vm in vms {
+                self.push_plan(&vm, 0, now);
+            }
+        }
+    }
+
+    fn send_beats(&mut self, now: ClockTime) {
+        let GroupRule::Grown { seeds, .. } = &self.settings.group_rule else { return };
+        let plan_version = self.state().plan().map_or(0, |it| it.plan.version);
+        let group = self.state().group().clone();
+        let beats = self.desk.beats(plan_version, &group, self.stopping, seeds, now);
+        self.effects.extend(beats.into_iter().map(|(vm, beat)| ControlEffect::Beat(vm, beat)));
+    }
+
+    /// Changes the group by one VM, if this leader finds that due.
+    fn change_group(&mut self, now: ClockTime) {
+        let GroupRule::Grown { n_wanted, .. } = &self.settings.group_rule else { return };
+        let is_due = GROUP_PAUSE_MS <= now.since_ms(self.group_at);
+        if !is_due || self.node().role() != ReplicaRole::Leader {
+            return;
+        }
+        self.group_at = now;
+        let own = GroupCandidate {
+            vm: self.settings.owner.vm.clone(),
+            centre: self.centre.clone(),
+            silent_ms: 0,
+            stopping: self.stopping,
+        };
+        let known = self.state().group();
+        let vms = self.node().vms().to_vec();
+        let changed = if known.vms.is_empty() {
+            Some(vms)
+        } else if self.voters_fit() {
+            let candidates = control_group::candidates(own.clone(), self.desk.living(now));
+            control_group::next_group(&vms, &own.vm, *n_wanted, &candidates)
+        } else {
+            None
+        };
+        if let Some(changed) = changed {
+            let command = ConfigCommand::SetGroup(changed);
+            let bytes = postcard::to_stdvec(&command).unwrap_or_default();
+            let waiter = ProposalWaiter { vm: own.vm, request: 0 };
+            self.group.propose(waiter, bytes);
+            self.carry_out(now);
+        }
+    }
+
+    /// Whether each VM of the group has its voter and no other VM has one.
+    fn voters_fit(&self) -> bool {
+        let voters = self.node().voters();
+        let vms = self.node().vms();
+        voters.len() == vms.len() && voters.iter().all(|it| vms.contains(&it.vm))
+    }
+
     fn send_heartbeats(&mut self) {
         let heartbeat = PeerHeartbeat {
             owner: self.settings.owner.clone(),
@@ -299,7 +548,20 @@
                 GroupEffect::Reborn(_) => {}
             }
         }
+        self.take_applied_group();
         self.push_new_version();
+        self.push_new_plan(now);
+    }
+
+    /// Puts the group in force as the log says.
+    fn take_applied_group(&mut self) {
+        let group = self.group.state().group();
+        if self.applied_group < group.version {
+            self.applied_group = group.version;
+            let vms = group.vms.clone();
+            self.group.set_vms(&vms);
+            self.group_vms = vms;
+        }
     }
 
     /// Pushes a version to every entry as soon as it is applied by the leader.
--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -25,6 +25,7 @@
                 }
                 self.peers.take(heartbeat, now);
             }
+            PeerDatagram::Beat(_) => {}
             PeerDatagram::News(news) => {
                 let answer = self.endpoints.learn(news, now).unwrap_or_default();
                 for part in answer.into_parts() {
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -313,6 +313,7 @@
                 }
             }
             PeerMessage::ConfigPush(delta) => self.take_config(from, delta),
+            PeerMessage::Cell(_) => {}
         }
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 #[macro_use]
 pub mod derives;
 
+pub mod cell;
 pub mod clock_time;
 pub mod config_state;
 pub mod control_node;
--- a/lib/src/log_group.rs
+++ b/lib/src/log_group.rs
@@ -96,6 +96,18 @@
         &self.node
     }
 
+    /// Changes the VMs of the group, once that is committed.
+    pub fn set_vms(&mut self, vms: &[VmName]) {
+        self.node.set_vms(vms);
+        self.carry_out();
+    }
+
+    /// Forgets the log of a group that this VM no longer belongs to.
+    pub fn leave_group(&mut self, now: ClockTime) {
+        self.node.leave_group(now);
+        self.carry_out();
+    }
+
     /// The state as of the applied index.
     pub fn state(&self) -> &S {
         &self.state
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -1,9 +1,15 @@
 //! Messages between the system's own processes.
 
 use crate::{
-    config_state::ConfigDelta, endpoint_table::EndpointNews, job_ledger::JobOutcome,
-    log_group::ProposalAnswer, peer_table::PeerHeartbeat, prelude::*,
-    replica_message::ReplicaMessage, slot_leases::LeaseMessage,
+    cell::cell_message::{CellMessage, PeerBeat},
+    config_state::ConfigDelta,
+    endpoint_table::EndpointNews,
+    job_ledger::JobOutcome,
+    log_group::ProposalAnswer,
+    peer_table::PeerHeartbeat,
+    prelude::*,
+    replica_message::ReplicaMessage,
+    slot_leases::LeaseMessage,
 };
 
 /// A message by TCP, kept in order between two VMs.
@@ -27,6 +33,8 @@
     ConfigPull(u64),
     /// What changed since a version that the sender takes the receiver to have.
     ConfigPush(ConfigDelta),
+    /// About cells, endpoints and routes.
+    Cell(CellMessage),
 }
 
 impl PeerMessage {
@@ -47,4 +55,6 @@
     Heartbeat(PeerHeartbeat),
     /// What the sender knows of endpoints.
     News(EndpointNews),
+    /// The sender is alive, and what it leads.
+    Beat(PeerBeat),
 }
--- a/lib/src/replica_effect.rs
+++ b/lib/src/replica_effect.rs
@@ -24,6 +24,8 @@
     pub term: u64,
     /// Candidate voted for in that term.
     pub vote: Option<ReplicaId>,
+    /// VMs of the group, as last changed; empty where they are given at each start.
+    pub vms: Vec<VmName>,
 }
 
 /// A change to the durable state.
--- a/lib/src/replica_founding.rs
+++ b/lib/src/replica_founding.rs
@@ -71,8 +71,10 @@
         let n_needed = match self.settings.founding_rule {
             FoundingRule::Majority => self.quorum(),
             FoundingRule::All => self.settings.vms.len(),
+            FoundingRule::Never => usize::MAX,
         };
-        !self.is_witness_vm(&self.hard.id.vm) && n_needed <= self.n_fresh(now) + 1
+        let is_member = self.settings.vms.contains(&self.hard.id.vm);
+        is_member && !self.is_witness_vm(&self.hard.id.vm) && n_needed <= self.n_fresh(now) + 1
     }
 
     fn ask_pledges(&mut self, now: ClockTime) {
@@ -126,6 +128,7 @@
         let n_needed = match self.settings.founding_rule {
             FoundingRule::Majority => self.quorum(),
             FoundingRule::All => self.settings.vms.len(),
+            FoundingRule::Never => usize::MAX,
         };
         if self.pledges.len() < n_needed {
             return;
@@ -174,6 +177,15 @@
             return;
         }
         let voters = self.voters().clone();
+        let is_stranger =
+            |it: &&ReplicaId| !self.settings.vms.contains(&it.vm) && **it != self.hard.id;
+        if let Some(stranger) = voters.iter().find(is_stranger).cloned() {
+            let mut changed = voters;
+            changed.shift_remove(&stranger);
+            self.progress.shift_remove(&stranger);
+            self.propose_voters(changed, now);
+            return;
+        }
         let ready = self.progress.iter().find(|(id, it)| {
             !voters.contains(*id)
                 && self.commit <= it.matched
@@ -282,7 +294,7 @@
                 let is_voter = self.voters().contains(&self.hard.id);
                 !is_voter || self.quorum() <= self.n_fresh(now)
             }
-            FoundingRule::All => !self.voters().contains(&self.hard.id),
+            FoundingRule::All | FoundingRule::Never => !self.voters().contains(&self.hard.id),
         }
     }
 }
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -32,6 +32,8 @@
     Majority,
     /// Every VM: for state on disk, which must never be founded over.
     All,
+    /// None: the group exists, and this VM can only join it.
+    Never,
 }
 
 /// When the state is encoded for a snapshot.
@@ -146,7 +148,8 @@
 impl ReplicaNode {
     /// A replica without state.
     pub fn new_fresh(settings: ReplicaSettings, id: ReplicaId, now: ClockTime) -> ReplicaNode {
-        let hard = HardState { id, generation: None, pledged: None, term: 0, vote: None };
+        let vms = Vec::new();
+        let hard = HardState { id, generation: None, pledged: None, term: 0, vote: None, vms };
         let mut node = ReplicaNode::from_stored(settings, hard, ReplicaLog::default(), now);
         node.save_hard_state();
         node
@@ -154,11 +157,14 @@
 
     /// A replica with the state that a restart found.
     pub fn from_stored(
-        settings: ReplicaSettings,
+        mut settings: ReplicaSettings,
         hard: HardState,
         log: ReplicaLog,
         now: ClockTime,
     ) -> ReplicaNode {
+        if !hard.vms.is_empty() {
+            settings.vms = hard.vms.clone();
+        }
         let role = match (hard.generation, hard.pledged) {
             (Some(_), _) => ReplicaRole::Follower,
             (None, Some(_)) => ReplicaRole::Pledged,
@@ -244,6 +250,30 @@
         self.log.voters_at(self.log.last_index())
     }
 
+    /// VMs of the group.
+    pub fn vms(&self) -> &[VmName] {
+        &self.settings.vms
+    }
+
+    /// Changes the VMs of the group, by one more or one less, once that is committed.
+    ///
+    /// Majorities of the former and the new VMs overlap. A replica may lag by one change,
+    /// as the next is proposed only after the last was committed.
+    pub fn set_vms(&mut self, vms: &[VmName]) {
+        if self.settings.vms != vms {
+            self.settings.vms = vms.to_vec();
+            self.hard.vms = vms.to_vec();
+            self.save_hard_state();
+        }
+    }
+
+    /// Forgets the log of a group that this VM no longer belongs to.
+    pub fn leave_group(&mut self, now: ClockTime) {
+        if self.role != ReplicaRole::Fresh {
+            self.begin_new_life(now);
+        }
+    }
+
     /// Replicas needed for a commit or an election.
     pub fn quorum(&self) -> usize {
         self.settings.vms.len() / 2 + 1
@@ -371,8 +401,9 @@
     pub(crate) fn begin_new_life(&mut self, now: ClockTime) {
         let incarnation = now.0.max(self.hard.id.incarnation + 1);
         let id = ReplicaId { vm: self.hard.id.vm.clone(), incarnation };
+        let vms = std::mem::take(&mut self.hard.vms);
         self.hard =
-            HardState { id: id.clone(), generation: None, pledged: None, term: 0, vote: None };
+            HardState { id: id.clone(), generation: None, pledged: None, term: 0, vote: None, vms };
         self.log = ReplicaLog::default();
         self.commit = 0;
         self.applied = 0;
--- a/lib/tests/test_config_state.rs
+++ b/lib/tests/test_config_state.rs
@@ -21,7 +21,7 @@
     match state.apply(ConfigCommand::Change(change, ClockTime(1))) {
         ConfigAnswer::Accepted(version) => Ok(version),
         ConfigAnswer::Refused(error) => Err(error),
-        ConfigAnswer::Founding(_) => panic!("not an answer to a change"),
+        other => panic!("{other:?} is no answer to a change"),
     }
 }
 
--- a/lib/tests/test_replica_log.rs
+++ b/lib/tests/test_replica_log.rs
@@ -65,7 +65,7 @@
         witness: None,
         founding_rule: rule,
         snapshot_rule: match rule {
-            FoundingRule::All => SnapshotRule::Kept,
+            FoundingRule::All | FoundingRule::Never => SnapshotRule::Kept,
             FoundingRule::Majority => SnapshotRule::OnDemand,
         },
         election_ms: ELECTION_MS,
@@ -128,7 +128,9 @@
                 for idx in 0..n_vms {
                     if self.nodes[idx].role() == ReplicaRole::Leader {
                         match self.rule {
-                            FoundingRule::All => self.nodes[idx].compact(vec![1]),
+                            FoundingRule::All | FoundingRule::Never => {
+                                self.nodes[idx].compact(vec![1])
+                            }
                             FoundingRule::Majority => self.nodes[idx].trim(2),
                         }
                         self.carry_out(idx);
--- a/lib/tests/test_replica_rules.rs
+++ b/lib/tests/test_replica_rules.rs
@@ -38,8 +38,14 @@
         term: 1,
         payload: EntryPayload::Command(vec![index as u8]),
     });
-    let hard =
-        HardState { id: id("a"), generation: Some(GENERATION), pledged: None, term: 1, vote: None };
+    let hard = HardState {
+        id: id("a"),
+        generation: Some(GENERATION),
+        pledged: None,
+        term: 1,
+        vote: None,
+        vms: Vec::new(),
+    };
     let log = ReplicaLog::new(snapshot, entries.collect());
     ReplicaNode::from_stored(settings(), hard, log, START)
 }
--- a/testutils/src/fake_control.rs
+++ b/testutils/src/fake_control.rs
@@ -1,7 +1,7 @@
 //! A control VM of a world: its process and its disk.
 
 use yuccamux::{
-    control_node::{ControlEffect, ControlNode, ControlSettings},
+    control_node::{ControlEffect, ControlNode, ControlSettings, GroupRule},
     job_ledger::OwnerId,
     prelude::*,
     replica_effect::{HardState, StoreEffect},
@@ -51,6 +51,7 @@
     /// A process that starts now on a disk.
     pub fn new(vm: &VmName, layout: &VmLayout, disk: &FakeDisk, now: ClockTime) -> FakeControl {
         let settings = ControlSettings {
+            group_rule: GroupRule::Listed,
             owner: OwnerId { vm: vm.clone(), incarnation: now.0 },
             layout: layout.clone(),
             election_ms: 600,
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -392,7 +392,11 @@
                     self.send(vm, to, WorldBody::Datagram(datagram));
                 }
                 ControlEffect::EndChange(call, result) => self.end_change(vm, call, result),
-                ControlEffect::Store(_) | ControlEffect::Role(_) | ControlEffect::Version(_) => {}
+                ControlEffect::Store(_)
+                | ControlEffect::Role(_)
+                | ControlEffect::Version(_)
+                | ControlEffect::EndRead(..)
+                | ControlEffect::Beat(..) => {}
             }
         }
     }
