--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -39,6 +39,11 @@
 const STOP_MS: u64 = 55;
 /// Time after which an unanswered stop is sent again, in ms.
 const STOP_RESEND_MS: u64 = 150;
+/// Time from a claim after which an endpoint that has not answered runs nothing of a former
+/// leader any more, in ms: the lease, and the slowest clock.
+const CLAIM_MS: u64 = LEASE_MS + 100;
+/// Time for which an end that a former leader's job may ask for is kept, in ms.
+const FORMER_END_MS: u64 = 3_000;
 /// Pause after an order that an endpoint did not answer, in ms.
 const SILENT_PAUSE_MS: u64 = 60;
 /// Longest such pause, in ms: a dead endpoint costs one order in this time.
@@ -129,6 +134,9 @@
     verdicts: IndexMap<JobCode, JobVerdict>,
     verdict_times: VecDeque<(ClockTime, JobCode)>,
     ratios: RouteRatios,
+    /// Tasks that ended as done before their job was offered here.
+    former_done: IndexMap<TaskRef, ClockTime>,
+    claimed_at: ClockTime,
     next_order: u64,
     wants_pass: bool,
     effects: Vec<CellEffect>,
@@ -136,7 +144,7 @@
 
 impl CellDispatcher {
     /// A leader with this token; order numbers start after `first_order`.
-    pub fn new(cell: CellName, token: u64, first_order: u64) -> CellDispatcher {
+    pub fn new(cell: CellName, token: u64, first_order: u64, now: ClockTime) -> CellDispatcher {
         CellDispatcher {
             cell,
             token,
@@ -145,6 +153,8 @@
             verdicts: IndexMap::new(),
             verdict_times: VecDeque::new(),
             ratios: RouteRatios::default(),
+            former_done: IndexMap::new(),
+            claimed_at: now,
             next_order: first_order,
             wants_pass: false,
             effects: Vec::new(),
@@ -185,6 +195,7 @@
     /// Raises the token after an endpoint knew a higher one, to claim the cell anew.
     pub fn raise_token(&mut self, token: u64, now: ClockTime) {
         self.token = self.token.max(token);
+        self.claimed_at = now;
         for endpoint in self.endpoints.values_mut() {
             endpoint.claimed = false;
             endpoint.look = None;
@@ -370,6 +381,14 @@
     /// Joins runs of a former leader to the job that they belong to.
     fn adopt_runs(&mut self, job: &mut CellJob, now: ClockTime) {
         let mut n_adopted = 0;
+        for task in &mut job.tasks {
+            if self.former_done.swap_remove(&task.task).is_some() {
+                task.phase = TaskPhase::Done;
+                job.n_left -= 1;
+                job.may_have_run = true;
+                n_adopted += 1;
+            }
+        }
         for (name, endpoint) in &mut self.endpoints {
             for (task, run) in &mut endpoint.runs {
                 if task.job != job.offer.job {
@@ -386,6 +405,9 @@
                     run.phase = RunPhase::Working;
                     run.since = now;
                 }
+                if known.phase == TaskPhase::Done {
+                    continue;
+                }
                 known.phase = TaskPhase::Placed(name.clone());
                 job.may_have_run = true;
                 n_adopted += 1;
@@ -534,10 +556,11 @@
         if !std::mem::take(&mut self.wants_pass) {
             return;
         }
+        let is_settled = self.former_runs_are_known(now);
         let mut order: Vec<((bool, ClockTime), JobCode)> = self
             .jobs
             .iter()
-            .filter(|(_, it)| it.waits())
+            .filter(|(_, it)| it.waits() && (is_settled || !it.offer.is_repeat))
             .map(|(code, it)| (self.rank(it, now), *code))
             .collect();
         if order.is_empty() || !self.endpoints.values().any(|it| it.takes_starts(now)) {
@@ -549,6 +572,11 @@
         }
     }
 
+    /// Whether no run of a former leader can be at work without being known here.
+    fn former_runs_are_known(&self, now: ClockTime) -> bool {
+        CLAIM_MS <= now.since_ms(self.claimed_at) || self.endpoints.values().all(|it| it.claimed)
+    }
+
     fn place_job(&mut self, code: JobCode, now: ClockTime) {
         let Some(job) = self.jobs.get(&code) else { return };
         let mut placed = Vec::new();
@@ -982,10 +1010,14 @@
 
     /// An end of a run that a former leader ordered and this one has not seen at work.
     fn take_former_end(&mut self, end: &ListedEnd, now: ClockTime) {
-        if end.end == RunEnd::Done
-            && let Some(job) = self.jobs.get(&end.task.job)
-            && job.tasks.iter().any(|it| it.task == end.task && it.phase == TaskPhase::Waiting)
-        {
+        if end.end != RunEnd::Done {
+            return;
+        }
+        let Some(job) = self.jobs.get(&end.task.job) else {
+            self.former_done.insert(end.task, now);
+            return;
+        };
+        if job.tasks.iter().any(|it| it.task == end.task && it.phase == TaskPhase::Waiting) {
             self.finish_task(end.task, now);
         }
     }
@@ -1098,6 +1130,7 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: ClockTime) {
         self.forget_verdicts(now);
+        self.former_done.retain(|_, at| now.since_ms(*at) < FORMER_END_MS);
         for idx in 0..self.endpoints.len() {
             self.tick_endpoint(idx, now);
             self.look(idx, now);
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -50,6 +50,8 @@
 const ENDPOINT_EXPIRY_MS: u64 = 20_000;
 /// Silence of all control VMs after which entries bring each other up to date, in ms.
 const CONTROL_SILENT_MS: u64 = 1_000;
+/// Run numbers of a task that each leader has for itself.
+const LEADER_RUNS: u32 = 32;
 /// Step between the order numbers of two cells.
 const ORDER_SPACE: u64 = 1 << 40;
 
@@ -282,6 +284,9 @@
         let leader = view.leader.clone();
         view.offered_cpu += job.offer.first_cpu();
         view.offered_work += job.offer.declared_work();
+        if job.was_offered {
+            job.offer.first_run += LEADER_RUNS;
+        }
         let offer = job.current_offer(now);
         job.leader = Some(leader.clone());
         job.offered_at = now;
@@ -641,7 +646,7 @@
         self.highest_token = token;
         self.n_cells_led += 1;
         let first_order = self.n_cells_led * ORDER_SPACE;
-        let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order);
+        let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, now);
         let records = self.cells().swap_remove(cell).unwrap_or_default();
         let note = DecisionNote::new(now, NoteEvent::CellClaimed, cell.to_string(), why);
         self.note(note.with("token", token).with("endpoints", records.len() as u64));
