lib: refused offers stay refused, far claims in vain are dropped, control VMs repeat news after a silence

Change: offers carry a number, refusals are kept by it; offers delayed by more than a lost VM's silence are not taken (beats give each pair's clock difference); the time for former runs counts from the first endpoint that obeys; a control VM sends everything to a VM that was silent.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -39,9 +39,10 @@
 const STOP_MS: u64 = 55;
 /// Time after which an unanswered stop is sent again, in ms.
 const STOP_RESEND_MS: u64 = 150;
-/// Time from a claim after which an endpoint that has not answered runs nothing of a former
-/// leader any more, in ms: the lease, and the slowest clock.
-const CLAIM_MS: u64 = LEASE_MS + 100;
+/// Time after the first endpoint has obeyed a new leader until one that has not answered
+/// runs nothing of the former leader any more, in ms: that leader notices within a fifth
+/// of a second and renews no lease from then on.
+const CLAIM_MS: u64 = LEASE_MS + 350;
 /// Time for which an end that a former leader's job may ask for is kept, in ms.
 const FORMER_END_MS: u64 = 3_000;
 /// Pause after an order that an endpoint did not answer, in ms.
@@ -73,8 +74,8 @@
 pub enum CellEffect {
     /// Send an order.
     Order(EndpointOrder),
-    /// Tell the entry that offered a job how it ended.
-    Verdict(VmName, JobCode, JobVerdict),
+    /// Tell the entry that offered a job, by the offer's number, how it ended.
+    Verdict(VmName, JobCode, u64, JobVerdict),
     /// An endpoint knows a higher token: another entry leads the cell.
     Fenced,
     /// Write a line.
@@ -88,6 +89,12 @@
     Done,
 }
 
+/// A verdict that is kept for copies of what it answers.
+enum KeptVerdict {
+    End(JobCode),
+    Refusal((VmName, JobCode, u64)),
+}
+
 #[derive(Clone, Debug)]
 struct CellTask {
     task: TaskRef,
@@ -132,11 +139,16 @@
     endpoints: IndexMap<EndpointName, EndpointState>,
     jobs: IndexMap<JobCode, CellJob>,
     verdicts: IndexMap<JobCode, JobVerdict>,
-    verdict_times: VecDeque<(ClockTime, JobCode)>,
+    /// Refused offers: one that is sent again must not run.
+    refusals: IndexMap<(VmName, JobCode, u64), JobVerdict>,
+    verdict_times: VecDeque<(ClockTime, KeptVerdict)>,
     ratios: RouteRatios,
+    /// Whether every endpoint that a former leader used is known.
+    endpoints_are_known: bool,
     /// Tasks that ended as done before their job was offered here.
     former_done: IndexMap<TaskRef, ClockTime>,
-    claimed_at: ClockTime,
+    /// When the first endpoint obeyed this leader's token.
+    obeyed_at: Option<ClockTime>,
     next_order: u64,
     wants_pass: bool,
     effects: Vec<CellEffect>,
@@ -144,17 +156,26 @@
 
 impl CellDispatcher {
     /// A leader with this token; order numbers start after `first_order`.
-    pub fn new(cell: CellName, token: u64, first_order: u64, now: ClockTime) -> CellDispatcher {
+    ///
+    /// Where not all endpoints are known, repeated jobs wait until a lease has run out.
+    pub fn new(
+        cell: CellName,
+        token: u64,
+        first_order: u64,
+        endpoints_are_known: bool,
+    ) -> CellDispatcher {
         CellDispatcher {
             cell,
             token,
             endpoints: IndexMap::new(),
             jobs: IndexMap::new(),
             verdicts: IndexMap::new(),
+            refusals: IndexMap::new(),
             verdict_times: VecDeque::new(),
             ratios: RouteRatios::default(),
+            endpoints_are_known,
             former_done: IndexMap::new(),
-            claimed_at: now,
+            obeyed_at: None,
             next_order: first_order,
             wants_pass: false,
             effects: Vec::new(),
@@ -176,6 +197,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// Whether any endpoint has obeyed this leader.
+    pub fn is_obeyed(&self) -> bool {
+        self.obeyed_at.is_some()
+    }
+
     /// Jobs that have not ended.
     pub fn n_jobs(&self) -> usize {
         self.jobs.len()
@@ -195,7 +221,7 @@
     /// Raises the token after an endpoint knew a higher one, to claim the cell anew.
     pub fn raise_token(&mut self, token: u64, now: ClockTime) {
         self.token = self.token.max(token);
-        self.claimed_at = now;
+        self.obeyed_at = None;
         for endpoint in self.endpoints.values_mut() {
             endpoint.claimed = false;
             endpoint.look = None;
@@ -325,6 +351,7 @@
         let code = offer.job;
         if let Some(job) = self.jobs.get_mut(&code) {
             job.front = front.clone();
+            job.offer.number = offer.number;
             job.waits_until = job.waits_until.max(now.plus_ms(offer.remaining_ms));
             let note = DecisionNote::new(now, NoteEvent::JobAttached, front.as_str(), "at work");
             self.note(note.about(code));
@@ -333,7 +360,11 @@
         if let Some(verdict) = self.verdicts.get(&code).cloned() {
             let note = DecisionNote::new(now, NoteEvent::JobAttached, front.as_str(), "ended");
             self.note(note.about(code));
-            self.effects.push(CellEffect::Verdict(front.clone(), code, verdict));
+            self.effects.push(CellEffect::Verdict(front.clone(), code, offer.number, verdict));
+            return;
+        }
+        if let Some(verdict) = self.refusals.get(&(front.clone(), code, offer.number)).cloned() {
+            self.effects.push(CellEffect::Verdict(front.clone(), code, offer.number, verdict));
             return;
         }
         let mut job = self.new_job(front, offer, now);
@@ -483,7 +514,10 @@
         .with("jobs", self.jobs.len() as u64);
         self.note(note);
         let verdict = JobVerdict::Refused(cause, retry_ms);
-        self.effects.push(CellEffect::Verdict(job.front.clone(), job.offer.job, verdict));
+        let offer = (job.front.clone(), job.offer.job, job.offer.number);
+        self.refusals.insert(offer.clone(), verdict.clone());
+        self.verdict_times.push_back((now, KeptVerdict::Refusal(offer.clone())));
+        self.effects.push(CellEffect::Verdict(offer.0, offer.1, offer.2, verdict));
     }
 
     /// Ends the runs of a job whose caller has left.
@@ -512,7 +546,8 @@
     /// Gives the cell up: every job is returned to the entry that offered it.
     pub fn give_up(&mut self, now: ClockTime) {
         for (code, job) in std::mem::take(&mut self.jobs) {
-            self.effects.push(CellEffect::Verdict(job.front, code, JobVerdict::NotLeader));
+            let number = job.offer.number;
+            self.effects.push(CellEffect::Verdict(job.front, code, number, JobVerdict::NotLeader));
         }
         let note = DecisionNote::new(now, NoteEvent::CellLost, self.cell.to_string(), "given up");
         self.note(note.with("token", self.token));
@@ -535,17 +570,20 @@
             .with("late_ms", now.since_ms(job.due_at));
         self.note(note);
         self.verdicts.insert(code, verdict.clone());
-        self.verdict_times.push_back((now, code));
-        self.effects.push(CellEffect::Verdict(job.front, code, verdict));
+        self.verdict_times.push_back((now, KeptVerdict::End(code)));
+        self.effects.push(CellEffect::Verdict(job.front, code, job.offer.number, verdict));
     }
 
     fn forget_verdicts(&mut self, now: ClockTime) {
-        while let Some((at, code)) = self.verdict_times.front().copied() {
-            if now.since_ms(at) < KEPT_VERDICT_MS && self.verdict_times.len() < MAX_KEPT_VERDICTS {
+        while let Some((at, _)) = self.verdict_times.front() {
+            if now.since_ms(*at) < KEPT_VERDICT_MS && self.verdict_times.len() < MAX_KEPT_VERDICTS {
                 return;
             }
-            self.verdict_times.pop_front();
-            self.verdicts.swap_remove(&code);
+            match self.verdict_times.pop_front() {
+                Some((_, KeptVerdict::End(code))) => self.verdicts.swap_remove(&code),
+                Some((_, KeptVerdict::Refusal(offer))) => self.refusals.swap_remove(&offer),
+                None => None,
+            };
         }
     }
 
@@ -574,7 +612,8 @@
 
     /// Whether no run of a former leader can be at work without being known here.
     fn former_runs_are_known(&self, now: ClockTime) -> bool {
-        CLAIM_MS <= now.since_ms(self.claimed_at) || self.endpoints.values().all(|it| it.claimed)
+        let all_claimed = self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed);
+        all_claimed || self.obeyed_at.is_some_and(|it| CLAIM_MS <= now.since_ms(it))
     }
 
     fn place_job(&mut self, code: JobCode, now: ClockTime) {
@@ -855,6 +894,7 @@
             return;
         }
         endpoint.claimed = true;
+        self.obeyed_at.get_or_insert(now);
         let OrderBody::Look { cursor, .. } = order.body else { return };
         if endpoint.cursor <= cursor {
             endpoint.owes_cursor = false;
--- a/lib/src/cell/cell_message.rs
+++ b/lib/src/cell/cell_message.rs
@@ -34,10 +34,10 @@
 /// A message by TCP.
 #[derive(Data!)]
 pub enum CellMessage {
-    /// Run this job in a cell that the receiver leads.
-    Offer(CellName, JobOffer),
-    /// How a job ended.
-    Ended(CellName, JobCode, JobVerdict),
+    /// Run this job in a cell that the receiver leads; the sender's time.
+    Offer(CellName, JobOffer, ClockTime),
+    /// How the job of an offer with this number ended.
+    Ended(CellName, JobCode, u64, JobVerdict),
     /// The caller of a job has left.
     Withdraw(JobCode),
     /// Lead this cell, which the sender led with this token.
@@ -70,6 +70,8 @@
 pub struct PeerBeat {
     /// Its VM and life.
     pub owner: OwnerId,
+    /// Its time.
+    pub sent_at: ClockTime,
     /// What it runs.
     pub role: VmRole,
     /// Its data centre.
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -4,6 +4,8 @@
 //! Each entry point takes the time and one event; effects are drained with
 //! [`CellNode::take_effects`].
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 
 use crate::{
@@ -48,8 +50,16 @@
 const CEDE_PAUSE_MS: u64 = 4_000;
 /// Silence after which an endpoint is forgotten, in ms: control VMs repeat each four seconds.
 const ENDPOINT_EXPIRY_MS: u64 = 20_000;
+/// Time after a start until all endpoints and entries are known, in ms: endpoints announce
+/// themselves each one to two seconds.
+const LEARNING_MS: u64 = 4_000;
 /// Silence of all control VMs after which entries bring each other up to date, in ms.
 const CONTROL_SILENT_MS: u64 = 1_000;
+/// Delay after which an offer is not taken, in ms: its sender counts this entry as lost by
+/// then and may have turned elsewhere.
+const STALE_OFFER_MS: u64 = 500;
+/// Beats of which the quickest tells the difference of two clocks.
+const OFFSET_BEATS: usize = 32;
 /// Run numbers of a task that each leader has for itself.
 const LEADER_RUNS: u32 = 32;
 /// Step between the order numbers of two cells.
@@ -88,6 +98,17 @@
     heard_at: ClockTime,
     broken_at: Option<ClockTime>,
     is_lost: bool,
+    /// Differences of our time and the sender's, in ms, of the last beats.
+    offsets_ms: VecDeque<i64>,
+}
+
+impl PeerView {
+    /// Time for which something sent at `sent_at` was on its way beyond what is usual, in ms.
+    fn delay_ms(&self, sent_at: ClockTime, now: ClockTime) -> u64 {
+        let usual_ms = self.offsets_ms.iter().min().copied().unwrap_or(i64::MAX);
+        let passed_ms = now.0 as i64 - sent_at.0 as i64;
+        passed_ms.saturating_sub(usual_ms).max(0) as u64
+    }
 }
 
 struct LedCell {
@@ -112,6 +133,7 @@
     started_at: ClockTime,
     highest_token: u64,
     n_cells_led: u64,
+    n_offers: u64,
     stopping: bool,
     effects: Vec<NodeEffect>,
 }
@@ -134,6 +156,7 @@
             started_at: now,
             highest_token: 0,
             n_cells_led: 0,
+            n_offers: 0,
             stopping: false,
             effects: Vec::new(),
         }
@@ -287,6 +310,8 @@
         if job.was_offered {
             job.offer.first_run += LEADER_RUNS;
         }
+        self.n_offers += 1;
+        job.offer.number = self.n_offers;
         let offer = job.current_offer(now);
         job.leader = Some(leader.clone());
         job.offered_at = now;
@@ -302,13 +327,16 @@
 
     fn offer(&mut self, cell: &CellName, leader: &VmName, offer: JobOffer, now: ClockTime) {
         if *leader != self.settings.owner.vm {
-            self.send(leader, CellMessage::Offer(cell.clone(), offer));
+            self.send(leader, CellMessage::Offer(cell.clone(), offer, now));
             return;
         }
         let own = self.settings.owner.vm.clone();
         match self.led.get_mut(cell) {
             Some(led) => led.dispatcher.offer(&own, offer, now),
-            None => self.take_verdict(&own, cell, offer.job, JobVerdict::NotLeader, now),
+            None => {
+                let number = offer.number;
+                self.take_verdict(&own, cell, offer.job, number, JobVerdict::NotLeader, now);
+            }
         }
         self.carry_out(now);
     }
@@ -318,11 +346,14 @@
         from: &VmName,
         cell: &CellName,
         code: JobCode,
+        number: u64,
         verdict: JobVerdict,
         now: ClockTime,
     ) {
         let Some(job) = self.router.jobs.get_mut(&code) else { return };
-        if job.cell.as_ref() != Some(cell) {
+        let is_former = number < job.offer.number
+            && matches!(verdict, JobVerdict::Refused(..) | JobVerdict::NotLeader);
+        if job.cell.as_ref() != Some(cell) || is_former {
             return;
         }
         match verdict {
@@ -385,18 +416,11 @@
     /// Takes a message from another VM.
     pub fn receive(&mut self, from: &VmName, message: CellMessage, now: ClockTime) {
         match message {
-            CellMessage::Offer(cell, offer) => {
-                let code = offer.job;
-                match self.led.get_mut(&cell) {
-                    Some(led) => led.dispatcher.offer(from, offer, now),
-                    None => {
-                        let ended = CellMessage::Ended(cell, code, JobVerdict::NotLeader);
-                        self.send(from, ended);
-                    }
-                }
+            CellMessage::Offer(cell, offer, sent_at) => {
+                self.take_offer(from, cell, offer, sent_at, now);
             }
-            CellMessage::Ended(cell, code, verdict) => {
-                self.take_verdict(from, &cell, code, verdict, now);
+            CellMessage::Ended(cell, code, number, verdict) => {
+                self.take_verdict(from, &cell, code, number, verdict, now);
             }
             CellMessage::Withdraw(code) => {
                 for led in self.led.values_mut() {
@@ -418,6 +442,28 @@
         self.carry_out(now);
     }
 
+    fn take_offer(
+        &mut self,
+        from: &VmName,
+        cell: CellName,
+        offer: JobOffer,
+        sent_at: ClockTime,
+        now: ClockTime,
+    ) {
+        let delay_ms = self.peers.get(from).map_or(0, |it| it.delay_ms(sent_at, now));
+        let is_stale = STALE_OFFER_MS < delay_ms;
+        match self.led.get_mut(&cell) {
+            Some(led) if !is_stale => led.dispatcher.offer(from, offer, now),
+            _ => {
+                let outcome = if is_stale { "stale offer" } else { "not the leader" };
+                let note = DecisionNote::new(now, NoteEvent::JobRefused, cell.to_string(), outcome);
+                self.note(note.about(offer.job).with("delay_ms", delay_ms));
+                let verdict = JobVerdict::NotLeader;
+                self.send(from, CellMessage::Ended(cell, offer.job, offer.number, verdict));
+            }
+        }
+    }
+
     fn take_plan(&mut self, plan: RoutePlan, now: ClockTime) {
         let former = self.plan.as_ref().map_or(0, |it| it.version);
         if self.plan.is_some() && plan.version <= former {
@@ -490,7 +536,19 @@
         for report in &beat.cells {
             self.highest_token = self.highest_token.max(report.token);
         }
-        let view = PeerView { beat, heard_at: now, broken_at: None, is_lost: false };
+        let mut offsets_ms = self
+            .peers
+            .get_mut(from)
+            .map(|it| std::mem::take(&mut it.offsets_ms))
+            .unwrap_or_default();
+        if is_new_life {
+            offsets_ms.clear();
+        }
+        offsets_ms.push_back(now.0 as i64 - beat.sent_at.0 as i64);
+        if OFFSET_BEATS < offsets_ms.len() {
+            offsets_ms.pop_front();
+        }
+        let view = PeerView { beat, heard_at: now, broken_at: None, is_lost: false, offsets_ms };
         self.peers.insert(from.clone(), view);
         self.follow_reports(from, now);
         if is_new_life && self.directory.living().next().is_none() {
@@ -535,6 +593,13 @@
         for report in reports {
             let cell = report.cell.clone();
             let own_token = self.led.get(&cell).map(|it| it.dispatcher.token());
+            let is_vain = cell.centre != self.settings.centre
+                && self.led.get(&cell).is_some_and(|it| !it.dispatcher.is_obeyed());
+            if is_vain {
+                // The cell was only out of reach.
+                self.lose_cell(&cell, now);
+            }
+            let own_token = own_token.filter(|_| !is_vain);
             if own_token.is_some_and(|it| it < report.token) {
                 self.lose_cell(&cell, now);
             }
@@ -634,7 +699,7 @@
             .peers
             .values()
             .filter(|it| it.beat.role == VmRole::Entry && it.beat.centre == *centre);
-        let is_past_start = FAR_CLAIM_MS < now.since_ms(self.started_at);
+        let is_past_start = LEARNING_MS < now.since_ms(self.started_at);
         is_past_start && of_centre.all(|it| FAR_CLAIM_MS < now.since_ms(it.heard_at))
     }
 
@@ -646,7 +711,8 @@
         self.highest_token = token;
         self.n_cells_led += 1;
         let first_order = self.n_cells_led * ORDER_SPACE;
-        let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, now);
+        let is_known = LEARNING_MS <= now.since_ms(self.started_at);
+        let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, is_known);
         let records = self.cells().swap_remove(cell).unwrap_or_default();
         let note = DecisionNote::new(now, NoteEvent::CellClaimed, cell.to_string(), why);
         self.note(note.with("token", token).with("endpoints", records.len() as u64));
@@ -818,7 +884,7 @@
                 continue;
             };
             if leader != self.settings.owner.vm {
-                self.send(&leader, CellMessage::Offer(cell, offer));
+                self.send(&leader, CellMessage::Offer(cell, offer, now));
             }
         }
     }
@@ -834,6 +900,7 @@
     fn beat(&self, now: ClockTime) -> PeerBeat {
         PeerBeat {
             owner: self.settings.owner.clone(),
+            sent_at: now,
             role: VmRole::Entry,
             centre: self.settings.centre.clone(),
             weight: self.settings.weight,
@@ -903,12 +970,12 @@
             CellEffect::Order(order) => self.effects.push(NodeEffect::Order(order)),
             CellEffect::Note(note) => self.note(note),
             CellEffect::Fenced => self.take_fence(cell, now),
-            CellEffect::Verdict(front, code, verdict) => {
+            CellEffect::Verdict(front, code, number, verdict) => {
                 if front == self.settings.owner.vm {
-                    let own = front;
-                    self.take_verdict(&own, cell, code, verdict, now);
+                    self.take_verdict(&front, cell, code, number, verdict, now);
                 } else {
-                    self.send(&front, CellMessage::Ended(cell.clone(), code, verdict));
+                    let ended = CellMessage::Ended(cell.clone(), code, number, verdict);
+                    self.send(&front, ended);
                 }
             }
         }
--- a/lib/src/cell/control_desk.rs
+++ b/lib/src/cell/control_desk.rs
@@ -16,6 +16,8 @@
 
 /// Silence after which a VM is no longer told of, in ms.
 const MEMBER_MS: u64 = 3_000;
+/// Silence after which a VM may have missed what it was told, in ms: a few beats.
+const SILENT_MS: u64 = 1_200;
 /// Time after which a living endpoint is told of again, in ms: entries forget it after twice
 /// and a half of it.
 const REPEAT_MS: u64 = 8_000;
@@ -65,14 +67,17 @@
         CellMessage::Endpoints(self.directory.everything())
     }
 
-    /// Takes a beat; whether it is the first of a process's life.
+    /// Takes a beat; whether its sender may lack what was told, as it is the first of a
+    /// life or after a silence.
     pub fn take_beat(&mut self, beat: PeerBeat, now: ClockTime) -> bool {
         let vm = beat.owner.vm.clone();
-        let known = self.peers.get(&vm).map(|(it, _)| it.owner.incarnation);
-        if known.is_some_and(|it| beat.owner.incarnation < it) {
+        let known = self.peers.get(&vm).map(|(it, at)| (it.owner.incarnation, *at));
+        if known.is_some_and(|(it, _)| beat.owner.incarnation < it) {
             return false;
         }
-        let is_new = known != Some(beat.owner.incarnation);
+        let is_new = known.is_none_or(|(incarnation, at)| {
+            incarnation != beat.owner.incarnation || SILENT_MS < now.since_ms(at)
+        });
         self.peers.insert(vm, (beat, now));
         is_new
     }
@@ -106,6 +111,7 @@
         let members: Vec<VmName> = self.living(now).map(|(it, _)| it.owner.vm.clone()).collect();
         let beat = PeerBeat {
             owner: self.owner.clone(),
+            sent_at: now,
             role: VmRole::Control,
             centre: self.centre.clone(),
             weight: 0,
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -108,6 +108,9 @@
     pub remaining_ms: u64,
     /// Number below which all runs of its tasks by former leaders lie.
     pub first_run: u32,
+    /// Number of the offer, unique within the entry that makes it; the same when it is
+    /// sent again.
+    pub number: u64,
     /// Whether the job may already have tasks at work in the cell.
     pub is_repeat: bool,
 }
