--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -39,19 +39,22 @@
 const STOP_MS: u64 = 55;
 /// Time after which an unanswered stop is sent again, in ms.
 const STOP_RESEND_MS: u64 = 150;
-/// Time after the first endpoint has obeyed a new leader until one that has not answered
-/// runs nothing of the former leader any more, in ms: that leader notices within a fifth
-/// of a second and renews no lease from then on.
+/// Time for which a job that a former leader had waits while some endpoint has not listed
+/// its runs, in ms. That leader has returned the job or counts its entry as gone, so it
+/// stops the job's runs or renews no lease for them.
 const CLAIM_MS: u64 = LEASE_MS + 350;
 /// Time for which an end that a former leader's job may ask for is kept, in ms.
 const FORMER_END_MS: u64 = 3_000;
 /// Pause after an order that an endpoint did not answer, in ms.
 const SILENT_PAUSE_MS: u64 = 60;
 /// Longest such pause, in ms: a dead endpoint costs one order in this time.
-const MAX_SILENT_PAUSE_MS: u64 = 2_000;
-/// Pause after an endpoint had no room although it seemed to, in ms: the run that takes the
-/// room is about to be listed as ended.
-const NO_ROOM_PAUSE_MS: u64 = 8;
+const MAX_SILENT_PAUSE_MS: u64 = 500;
+/// Pause after another life answered at an endpoint's address, in ms: it announces itself
+/// within one to two seconds.
+const OTHER_LIFE_PAUSE_MS: u64 = 2_000;
+/// Time without word from the entry that offered a job after which the job is withdrawn, in
+/// ms: its caller may send a second copy 1.3 s after it has given up.
+const WANTED_MS: u64 = 1_000;
 /// Pause after an endpoint said that it is unhealthy, in ms.
 const UNHEALTHY_PAUSE_MS: u64 = 250;
 /// Verdicts that are kept for copies of a job.
@@ -112,6 +115,8 @@
     due_at: ClockTime,
     /// Time until which its caller waits.
     waits_until: ClockTime,
+    /// When its entry last said that the caller waits.
+    wanted_at: ClockTime,
     tasks: Vec<CellTask>,
     n_left: usize,
     /// Whether any of its tasks may have started.
@@ -147,8 +152,10 @@
     endpoints_are_known: bool,
     /// Tasks that ended as done before their job was offered here.
     former_done: IndexMap<TaskRef, ClockTime>,
-    /// When the first endpoint obeyed this leader's token.
-    obeyed_at: Option<ClockTime>,
+    /// Whether any endpoint has obeyed this leader's token.
+    is_obeyed: bool,
+    /// Whether an endpoint has refused it for a higher token.
+    is_fenced: bool,
     next_order: u64,
     wants_pass: bool,
     effects: Vec<CellEffect>,
@@ -175,7 +182,8 @@
             ratios: RouteRatios::default(),
             endpoints_are_known,
             former_done: IndexMap::new(),
-            obeyed_at: None,
+            is_obeyed: false,
+            is_fenced: false,
             next_order: first_order,
             wants_pass: false,
             effects: Vec::new(),
@@ -199,7 +207,7 @@
 
     /// Whether any endpoint has obeyed this leader.
     pub fn is_obeyed(&self) -> bool {
-        self.obeyed_at.is_some()
+        self.is_obeyed
     }
 
     /// Jobs that have not ended.
@@ -218,17 +226,6 @@
         self.jobs.values().filter(pending).count() as u64
     }
 
-    /// Raises the token after an endpoint knew a higher one, to claim the cell anew.
-    pub fn raise_token(&mut self, token: u64, now: ClockTime) {
-        self.token = self.token.max(token);
-        self.obeyed_at = None;
-        for endpoint in self.endpoints.values_mut() {
-            endpoint.claimed = false;
-            endpoint.look = None;
-        }
-        self.look_everywhere(now);
-    }
-
     /// What the leader tells of the cell.
     pub fn report(&self, now: ClockTime) -> CellReport {
         let mut report = CellReport {
@@ -269,7 +266,7 @@
             .cloned()
             .collect();
         for name in missing {
-            self.end_life(&name, "gone", now);
+            self.end_runs(&name, "gone", now);
             self.endpoints.swap_remove(&name);
         }
         for record in records {
@@ -277,9 +274,8 @@
                 Some(endpoint) if endpoint.record.born == record.born => {
                     endpoint.record = record.clone();
                 }
-                Some(_) => {
-                    self.end_life(&record.name, "another life began", now);
-                    self.endpoints.insert(record.name.clone(), EndpointState::new(record.clone()));
+                Some(endpoint) => {
+                    endpoint.begin_life(record.clone(), now);
                 }
                 None => {
                     self.endpoints.insert(record.name.clone(), EndpointState::new(record.clone()));
@@ -291,10 +287,9 @@
         self.pass(now);
     }
 
-    /// The endpoint's runs are over, as its life is.
-    fn end_life(&mut self, name: &EndpointName, proof: &str, now: ClockTime) {
+    /// The endpoint's runs are over, as it is gone.
+    fn end_runs(&mut self, name: &EndpointName, proof: &str, now: ClockTime) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        endpoint.begin_life();
         let runs = std::mem::take(&mut endpoint.runs);
         for (task, run) in runs {
             self.requeue(task, run.run, name, proof, now);
@@ -327,7 +322,7 @@
             LOOK_WAIT_MS
         };
         // An endpoint that does not answer must be left to let its runs lapse.
-        let renews = !is_claim && !is_idle && endpoint.n_silent == 0;
+        let renews = !is_claim && !is_idle && endpoint.n_silent == 0 && !self.is_fenced;
         let lease_until = if renews { endpoint.extend_lease(LEASE_MS, now) } else { None };
         self.next_order += 1;
         let number = OrderNumber(self.next_order);
@@ -351,6 +346,7 @@
         let code = offer.job;
         if let Some(job) = self.jobs.get_mut(&code) {
             job.front = front.clone();
+            job.wanted_at = now;
             job.offer.number = offer.number;
             job.waits_until = job.waits_until.max(now.plus_ms(offer.remaining_ms));
             let note = DecisionNote::new(now, NoteEvent::JobAttached, front.as_str(), "at work");
@@ -402,6 +398,7 @@
             arrived_at: now,
             due_at: now.minus_ms(offer.age_ms).plus_ms(objective_ms),
             waits_until: now.plus_ms(offer.remaining_ms),
+            wanted_at: now,
             n_left: tasks.len(),
             tasks,
             may_have_run: offer.is_repeat,
@@ -520,6 +517,35 @@
         self.effects.push(CellEffect::Verdict(offer.0, offer.1, offer.2, verdict));
     }
 
+    /// Takes word that the caller of an offer still waits; the verdict if it has none here.
+    pub fn keep(
+        &mut self,
+        front: &VmName,
+        code: JobCode,
+        number: u64,
+        now: ClockTime,
+    ) -> Option<JobVerdict> {
+        if let Some(job) = self.jobs.get_mut(&code) {
+            if job.front == *front {
+                job.wanted_at = now;
+            }
+            return None;
+        }
+        let refused = self.refusals.get(&(front.clone(), code, number));
+        let known = refused.or_else(|| self.verdicts.get(&code)).cloned();
+        Some(known.unwrap_or(JobVerdict::NotLeader))
+    }
+
+    fn withdraw_unwanted(&mut self, own: &VmName, now: ClockTime) {
+        let is_unwanted =
+            |it: &CellJob| it.front != *own && WANTED_MS <= now.since_ms(it.wanted_at);
+        let codes: Vec<JobCode> =
+            self.jobs.iter().filter(|(_, it)| is_unwanted(it)).map(|(code, _)| *code).collect();
+        for code in codes {
+            self.withdraw(code, now);
+        }
+    }
+
     /// Ends the runs of a job whose caller has left.
     pub fn withdraw(&mut self, code: JobCode, now: ClockTime) {
         let Some(job) = self.jobs.swap_remove(&code) else { return };
@@ -591,14 +617,17 @@
 
     /// Places what can be placed, if anything has changed.
     fn pass(&mut self, now: ClockTime) {
-        if !std::mem::take(&mut self.wants_pass) {
+        if self.is_fenced || !std::mem::take(&mut self.wants_pass) {
             return;
         }
-        let is_settled = self.former_runs_are_known(now);
+        let are_known = self.former_runs_are_known();
         let mut order: Vec<((bool, ClockTime), JobCode)> = self
             .jobs
             .iter()
-            .filter(|(_, it)| it.waits() && (is_settled || !it.offer.is_repeat))
+            .filter(|(_, it)| {
+                let is_over = CLAIM_MS <= now.since_ms(it.arrived_at);
+                it.waits() && (are_known || is_over || !it.offer.is_repeat)
+            })
             .map(|(code, it)| (self.rank(it, now), *code))
             .collect();
         if order.is_empty() || !self.endpoints.values().any(|it| it.takes_starts(now)) {
@@ -610,10 +639,9 @@
         }
     }
 
-    /// Whether no run of a former leader can be at work without being known here.
-    fn former_runs_are_known(&self, now: ClockTime) -> bool {
-        let all_claimed = self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed);
-        all_claimed || self.obeyed_at.is_some_and(|it| CLAIM_MS <= now.since_ms(it))
+    /// Whether every endpoint that a former leader may have used has listed its runs.
+    fn former_runs_are_known(&self) -> bool {
+        self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed)
     }
 
     fn place_job(&mut self, code: JobCode, now: ClockTime) {
@@ -758,12 +786,13 @@
         }
         match (&outcome, order.token == self.token) {
             (OrderOutcome::Refused(OrderRefusal::Fenced, _), true) => {
+                self.is_fenced = true;
                 self.effects.push(CellEffect::Fenced);
             }
             (OrderOutcome::Refused(OrderRefusal::OtherLife, _), _) => {
-                self.end_life(name, "another life answers", now);
+                self.end_runs(name, "another endpoint answers", now);
                 if let Some(endpoint) = self.endpoints.get_mut(name) {
-                    endpoint.retry_at = now.plus_ms(MAX_SILENT_PAUSE_MS);
+                    endpoint.retry_at = now.plus_ms(OTHER_LIFE_PAUSE_MS);
                 }
             }
             _ => {}
@@ -797,6 +826,7 @@
                     known.phase = RunPhase::Working;
                     known.since = now;
                 }
+                endpoint.note_start();
                 return;
             }
             OrderOutcome::Lost => {
@@ -812,8 +842,9 @@
             OrderOutcome::NotSent => None,
             OrderOutcome::Refused(refusal, _) => Some(*refusal),
         };
+        let is_stopping = matches!(known.phase, RunPhase::Stopping { .. });
         match refusal {
-            Some(OrderRefusal::NoRoom) => endpoint.start_at = now.plus_ms(NO_ROOM_PAUSE_MS),
+            Some(OrderRefusal::NoRoom) => endpoint.note_no_room(now),
             Some(OrderRefusal::Unhealthy) => {
                 endpoint.start_at = now.plus_ms(UNHEALTHY_PAUSE_MS);
                 endpoint.on_probation = true;
@@ -822,7 +853,7 @@
             _ => {}
         }
         // A run that is being stopped stays until its stop is through.
-        if matches!(known.phase, RunPhase::Stopping { .. }) && refusal.is_none() {
+        if is_stopping && refusal.is_none() {
             return;
         }
         self.remove_run(name, task, run);
@@ -869,12 +900,12 @@
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let Some(look) = endpoint.look.filter(|it| it.number == order.number) else { return };
         endpoint.look = None;
-        let lists = match outcome {
-            OrderOutcome::Carried(_, lists) => lists.unwrap_or_default(),
+        let lists = match &outcome {
+            OrderOutcome::Carried(_, lists) => lists.clone().unwrap_or_default(),
             OrderOutcome::Refused(refusal, _) => {
                 endpoint.retry_at = now.plus_ms(UNHEALTHY_PAUSE_MS);
-                if refusal == OrderRefusal::OtherLife {
-                    endpoint.retry_at = now.plus_ms(MAX_SILENT_PAUSE_MS);
+                if *refusal == OrderRefusal::OtherLife {
+                    endpoint.retry_at = now.plus_ms(OTHER_LIFE_PAUSE_MS);
                 }
                 return;
             }
@@ -890,11 +921,14 @@
         if let Some(born) = lists.born
             && endpoint.record.born < born
         {
-            self.end_life(name, "another life answers", now);
-            return;
+            let record = EndpointRecord { born, ..endpoint.record.clone() };
+            endpoint.begin_life(record, now);
+            if let OrderOutcome::Carried(clock, _) = outcome {
+                endpoint.hear(clock, now);
+            }
         }
         endpoint.claimed = true;
-        self.obeyed_at.get_or_insert(now);
+        self.is_obeyed = true;
         let OrderBody::Look { cursor, .. } = order.body else { return };
         if endpoint.cursor <= cursor {
             endpoint.owes_cursor = false;
@@ -1168,8 +1202,9 @@
     // Time
 
     /// Lets time pass.
-    pub fn tick(&mut self, now: ClockTime) {
+    pub fn tick(&mut self, own: &VmName, now: ClockTime) {
         self.forget_verdicts(now);
+        self.withdraw_unwanted(own, now);
         self.former_done.retain(|_, at| now.since_ms(*at) < FORMER_END_MS);
         for idx in 0..self.endpoints.len() {
             self.tick_endpoint(idx, now);
--- a/lib/src/cell/cell_message.rs
+++ b/lib/src/cell/cell_message.rs
@@ -36,6 +36,8 @@
 pub enum CellMessage {
     /// Run this job in a cell that the receiver leads; the sender's time.
     Offer(CellName, JobOffer, ClockTime),
+    /// The callers of these offers to a cell, by job and number, still wait.
+    Wanted(CellName, Vec<(JobCode, u64)>),
     /// How the job of an offer with this number ended.
     Ended(CellName, JobCode, u64, JobVerdict),
     /// The caller of a job has left.
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -37,8 +37,9 @@
 const FAR_CLAIM_MS: u64 = 1_500;
 /// Time for which a VM whose connections broke may still show that it lives, in ms.
 const BROKEN_MS: u64 = 300;
-/// Time after which a job is offered again to the same leader, in ms: a message may be lost.
-const REOFFER_MS: u64 = 500;
+/// Time after which a leader is told again that a caller still waits, in ms: three times
+/// within the span after which the leader withdraws the job.
+const WANTED_MS: u64 = 300;
 /// Time for which a job waits for a cell or a leader before it is refused, in ms.
 const LEADERLESS_MS: u64 = 400;
 /// Time after which a job that was with a lost leader is given up, in ms: the leases of
@@ -46,6 +47,10 @@
 const ADRIFT_MS: u64 = 1_200;
 /// Time for which a fenced leader listens for another's claim before it claims anew, in ms.
 const FENCED_MS: u64 = 200;
+/// Fences in a row up to which each lengthens the pause before the next claim.
+const MAX_FENCES: u64 = 8;
+/// Time after which former fences no longer count, in ms.
+const FENCES_KEPT_MS: u64 = 5_000;
 /// Time between two cells that are ceded to even out the load, in ms.
 const CEDE_PAUSE_MS: u64 = 4_000;
 /// Silence after which an endpoint is forgotten, in ms: control VMs repeat each four seconds.
@@ -60,6 +65,12 @@
 const STALE_OFFER_MS: u64 = 500;
 /// Beats of which the quickest tells the difference of two clocks.
 const OFFSET_BEATS: usize = 32;
+/// Time without a tick after which an entry has stood still and others count it as lost, in
+/// ms: it then leads nothing any more.
+const STALL_MS: u64 = SILENT_MS - 100;
+/// Time after a stall in which nothing is begun, in ms: callers that have left and entries
+/// that have taken over are noticed first.
+const WAKE_MS: u64 = 260;
 /// Run numbers of a task that each leader has for itself.
 const LEADER_RUNS: u32 = 32;
 /// Step between the order numbers of two cells.
@@ -114,7 +125,6 @@
 struct LedCell {
     dispatcher: CellDispatcher,
     fenced_at: Option<ClockTime>,
-    n_fenced: u32,
 }
 
 /// The state of an entry.
@@ -125,10 +135,14 @@
     peers: IndexMap<VmName, PeerView>,
     controls: Vec<VmName>,
     led: IndexMap<CellName, LedCell>,
+    /// Cells whose endpoints obeyed another: how often, and when they may be claimed again.
+    fences: IndexMap<CellName, (u64, ClockTime)>,
     views: IndexMap<CellName, CellView>,
     router: JobRouter,
     n_beats: u64,
     beat_at: ClockTime,
+    active_at: ClockTime,
+    resumes_at: ClockTime,
     ceded_at: ClockTime,
     started_at: ClockTime,
     highest_token: u64,
@@ -148,10 +162,13 @@
             directory: EndpointDirectory::default(),
             peers: IndexMap::new(),
             led: IndexMap::new(),
+            fences: IndexMap::new(),
             views: IndexMap::new(),
             router: JobRouter::default(),
             n_beats: 0,
             beat_at: now,
+            active_at: now,
+            resumes_at: now,
             ceded_at: now,
             started_at: now,
             highest_token: 0,
@@ -230,10 +247,26 @@
         self.effects.push(NodeEffect::Send(to.clone(), message));
     }
 
+    /// Notices that the process stood still.
+    fn wake(&mut self, now: ClockTime) {
+        let stall_ms = now.since_ms(self.active_at);
+        self.active_at = now;
+        if stall_ms < STALL_MS {
+            return;
+        }
+        self.resumes_at = now.plus_ms(WAKE_MS);
+        let note = DecisionNote::new(now, NoteEvent::ReadyChanged, "process", "stood still");
+        self.note(note.with("stall_ms", stall_ms).with("cells", self.led.len() as u64));
+        for cell in self.led.keys().cloned().collect::<Vec<_>>() {
+            self.lose_cell(&cell, now);
+        }
+    }
+
     // Callers
 
     /// Takes a caller's job; its answer comes as an effect.
     pub fn submit(&mut self, call: CallNumber, offer: JobOffer, now: ClockTime) {
+        self.wake(now);
         let code = offer.job;
         if let Some(known) = self.router.jobs.get_mut(&code) {
             // The caller has given up on its former call, which gets the same answer.
@@ -298,6 +331,9 @@
 
     /// Offers a job that has no leader, if one can be found.
     fn route(&mut self, code: JobCode, now: ClockTime) {
+        if now < self.resumes_at {
+            return;
+        }
         let Some(job) = self.router.jobs.get_mut(&code) else { return };
         if job.cell.is_none() {
             job.cell = job_router::choose_cell(job, &self.settings.centre, &self.views, now);
@@ -415,10 +451,24 @@
 
     /// Takes a message from another VM.
     pub fn receive(&mut self, from: &VmName, message: CellMessage, now: ClockTime) {
+        self.wake(now);
         match message {
             CellMessage::Offer(cell, offer, sent_at) => {
                 self.take_offer(from, cell, offer, sent_at, now);
             }
+            CellMessage::Wanted(cell, wanted) => {
+                for (code, number) in wanted {
+                    let led = self.led.get_mut(&cell);
+                    let verdict = match led {
+                        Some(led) => led.dispatcher.keep(from, code, number, now),
+                        None => Some(JobVerdict::NotLeader),
+                    };
+                    if let Some(verdict) = verdict {
+                        let ended = CellMessage::Ended(cell.clone(), code, number, verdict);
+                        self.send(from, ended);
+                    }
+                }
+            }
             CellMessage::Ended(cell, code, number, verdict) => {
                 self.take_verdict(from, &cell, code, number, verdict, now);
             }
@@ -515,6 +565,7 @@
         if beat.owner.vm != *from || *from == self.settings.owner.vm {
             return;
         }
+        self.wake(now);
         let known = self.peers.get(from);
         let is_new_life = known.is_none_or(|it| it.beat.owner.incarnation < beat.owner.incarnation);
         if known.is_some_and(|it| beat.owner.incarnation < it.beat.owner.incarnation) {
@@ -548,7 +599,11 @@
         if OFFSET_BEATS < offsets_ms.len() {
             offsets_ms.pop_front();
         }
-        let view = PeerView { beat, heard_at: now, broken_at: None, is_lost: false, offsets_ms };
+        // A beat that waited for a process that stood still says nothing of the present.
+        let usual_ms = offsets_ms.iter().min().copied().unwrap_or(0);
+        let delay_ms = now.0 as i64 - beat.sent_at.0 as i64 - usual_ms;
+        let heard_at = now.minus_ms(delay_ms.max(0) as u64);
+        let view = PeerView { beat, heard_at, broken_at: None, is_lost: false, offsets_ms };
         self.peers.insert(from.clone(), view);
         self.follow_reports(from, now);
         if is_new_life && self.directory.living().next().is_none() {
@@ -678,7 +733,8 @@
 
     /// Claims the cells that fall to this entry.
     fn claim_cells(&mut self, now: ClockTime) {
-        if self.stopping || self.plan.is_none() || self.is_isolated(now) {
+        let may_claim = self.resumes_at <= now && !self.is_isolated(now);
+        if self.stopping || self.plan.is_none() || !may_claim {
             return;
         }
         let cells = self.cells();
@@ -690,6 +746,9 @@
             if cell.centre != self.settings.centre && !self.centre_is_silent(&cell.centre, now) {
                 continue;
             }
+            if self.fences.get(&cell).is_some_and(|(_, until)| now < *until) {
+                continue;
+            }
             self.claim(&cell, "fell to this entry", now);
         }
     }
@@ -717,7 +776,7 @@
         let note = DecisionNote::new(now, NoteEvent::CellClaimed, cell.to_string(), why);
         self.note(note.with("token", token).with("endpoints", records.len() as u64));
         dispatcher.set_endpoints(&records, now);
-        let led = LedCell { dispatcher, fenced_at: None, n_fenced: 0 };
+        let led = LedCell { dispatcher, fenced_at: None };
         self.led.insert(cell.clone(), led);
         self.view_own_cells(now);
         let own = self.settings.owner.vm.clone();
@@ -777,37 +836,26 @@
         }
     }
 
+    /// Gives up cells whose endpoints obey another, and claims them again in a while if no
+    /// other is heard to lead them.
     fn tick_fences(&mut self, now: ClockTime) {
-        let due: Vec<CellName> = self
-            .led
-            .iter()
-            .filter(|(_, it)| {
-                let span_ms = FENCED_MS * u64::from(it.n_fenced + 1).min(10);
-                it.fenced_at.is_some_and(|at| span_ms <= now.since_ms(at))
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
+        let is_due = |it: &LedCell| it.fenced_at.is_some_and(|at| FENCED_MS <= now.since_ms(at));
+        let due: Vec<CellName> =
+            self.led.iter().filter(|(_, it)| is_due(it)).map(|(name, _)| name.clone()).collect();
         for cell in due {
-            if self.stopping || self.is_isolated(now) {
-                self.lose_cell(&cell, now);
-                continue;
-            }
-            let Some(led) = self.led.get_mut(&cell) else { continue };
-            led.fenced_at = None;
-            led.n_fenced += 1;
-            let known = self.highest_token.max(led.dispatcher.token());
-            let token = cell_leadership::next_token(&self.settings.owner.vm, known, now);
-            self.highest_token = token;
-            led.dispatcher.raise_token(token, now);
-            let note = DecisionNote::new(now, NoteEvent::CellClaimed, cell.to_string(), "fenced");
-            self.note(note.with("token", token));
+            self.lose_cell(&cell, now);
+            let (n_fences, until) = self.fences.entry(cell).or_default();
+            *n_fences += 1;
+            *until = now.plus_ms(FENCED_MS * (*n_fences).min(MAX_FENCES));
         }
+        self.fences.retain(|_, (_, until)| now.since_ms(*until) < FENCES_KEPT_MS);
     }
 
     // Endpoints
 
     /// Takes what became of an order.
     pub fn take_outcome(&mut self, order: &EndpointOrder, outcome: OrderOutcome, now: ClockTime) {
+        self.wake(now);
         let OrderNumber(number) = order.number;
         let led = self.led.values_mut().find(|it| {
             it.dispatcher.has_endpoint(&order.endpoint)
@@ -823,10 +871,11 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: ClockTime) {
+        self.wake(now);
         self.tick_peers(now);
         self.tick_fences(now);
         for led in self.led.values_mut() {
-            led.dispatcher.tick(now);
+            led.dispatcher.tick(&self.settings.owner.vm, now);
         }
         self.carry_out(now);
         self.tick_jobs(now);
@@ -858,14 +907,22 @@
         self.route_adrift(now);
         let mut refused = Vec::new();
         let mut unknown = Vec::new();
-        let mut again = Vec::new();
+        let mut again = IndexMap::new();
         for (code, job) in &self.router.jobs {
             match (&job.leader, job.was_offered) {
                 (None, false) if LEADERLESS_MS <= now.since_ms(job.adrift_since) => {
                     refused.push(*code);
                 }
                 (None, true) if ADRIFT_MS <= now.since_ms(job.adrift_since) => unknown.push(*code),
-                (Some(_), _) if REOFFER_MS <= now.since_ms(job.offered_at) => again.push(*code),
+                (Some(leader), _) if WANTED_MS <= now.since_ms(job.offered_at) => {
+                    if let Some(cell) = &job.cell
+                        && *leader != self.settings.owner.vm
+                    {
+                        let wanted: &mut Vec<(JobCode, u64)> =
+                            again.entry((leader.clone(), cell.clone())).or_default();
+                        wanted.push((*code, job.offer.number));
+                    }
+                }
                 _ => {}
             }
         }
@@ -876,16 +933,13 @@
         for code in unknown {
             self.answer(code, JobVerdict::Unknown, now);
         }
-        for code in again {
-            let Some(job) = self.router.jobs.get_mut(&code) else { continue };
-            job.offered_at = now;
-            let offer = job.current_offer(now);
-            let (Some(cell), Some(leader)) = (job.cell.clone(), job.leader.clone()) else {
-                continue;
-            };
-            if leader != self.settings.owner.vm {
-                self.send(&leader, CellMessage::Offer(cell, offer, now));
+        for ((leader, cell), wanted) in again {
+            for (code, _) in &wanted {
+                if let Some(job) = self.router.jobs.get_mut(code) {
+                    job.offered_at = now;
+                }
             }
+            self.send(&leader, CellMessage::Wanted(cell, wanted));
         }
     }
 
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -20,6 +20,9 @@
 const QUARANTINE_FAILURES: u32 = 2;
 /// First quarantine, in ms: a few tasks long. Each further one is twice as long.
 const QUARANTINE_MS: u64 = 400;
+/// First and longest pause after an endpoint had no room although it seemed to, in ms: what
+/// takes the room is about to be listed, or stays unknown.
+const NO_ROOM_PAUSE_MS: (u64, u64) = (8, 256);
 /// Doublings of the quarantine: 6.4 s at most, so that a recovered endpoint is soon used.
 const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
 
@@ -103,6 +106,7 @@
     /// Whether it has to prove itself with one run before it gets more.
     pub(crate) on_probation: bool,
     n_quarantines: u32,
+    n_no_room: u32,
 }
 
 impl EndpointState {
@@ -124,6 +128,7 @@
             n_failed: 0,
             on_probation: false,
             n_quarantines: 0,
+            n_no_room: 0,
         }
     }
 
@@ -143,6 +148,25 @@
             && self.start_at <= now
             && self.retry_at <= now
             && (!self.on_probation || self.runs.is_empty())
+            && !self.has_orphans()
+    }
+
+    /// Whether runs of a former leader take room that is not known.
+    fn has_orphans(&self) -> bool {
+        self.runs.values().any(|it| it.phase == RunPhase::Orphan)
+    }
+
+    /// Notes that there was no room.
+    pub(crate) fn note_no_room(&mut self, now: ClockTime) {
+        let (first_ms, longest_ms) = NO_ROOM_PAUSE_MS;
+        let pause_ms = (first_ms << self.n_no_room.min(8)).min(longest_ms);
+        self.n_no_room += 1;
+        self.start_at = self.start_at.max(now.plus_ms(pause_ms));
+    }
+
+    /// Notes a run that was begun.
+    pub(crate) fn note_start(&mut self) {
+        self.n_no_room = 0;
     }
 
     /// Lowest reading that its clock can have now.
@@ -190,8 +214,19 @@
         Some(span_ms)
     }
 
-    /// Forgets what belongs to a former life.
-    pub(crate) fn begin_life(&mut self) {
+    /// Takes another life of the endpoint.
+    ///
+    /// Orders on their way may have reached it, so each run is in doubt until it is listed
+    /// or stopped.
+    pub(crate) fn begin_life(&mut self, record: EndpointRecord, now: ClockTime) {
+        self.record = record;
+        self.pace = EndpointPace::default();
+        for run in self.runs.values_mut() {
+            if !matches!(run.phase, RunPhase::Stopping { .. }) {
+                run.phase = RunPhase::Doubted;
+            }
+            run.since = now.minus_ms(1);
+        }
         self.claimed = false;
         self.clock = None;
         self.lease_until = 0;
@@ -199,5 +234,6 @@
         self.owes_cursor = false;
         self.look = None;
         self.n_silent = 0;
+        self.retry_at = now;
     }
 }
--- /dev/null
+++ b/testutils/src/cell_world.rs
@@ -0,0 +1,1002 @@
+//! Entries, endpoints and callers of cells in virtual time, under random faults.
+//!
+//! The world checks what callers and endpoints see: no task at work twice, nothing of a
+//! refused job run, no start on an endpoint that has long been leaving, and an answer for
+//! every job once the faults are over.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use indexmap::{IndexMap, IndexSet};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yuccamux::{
+    cell::{
+        cell_message::{CellMessage, PeerBeat},
+        cell_node::{CellNode, CellSettings, NodeEffect},
+        endpoint_directory::EndpointRecord,
+        endpoint_order::{EndpointOrder, OrderBody, OrderOutcome},
+        job_offer::{JobCode, JobOffer, JobStep, JobVerdict, ResourceRoom, TaskRef},
+        route_plan::{RequestLimits, RoutePlan, RouteRule},
+    },
+    entry_node::CallNumber,
+    job_ledger::OwnerId,
+    prelude::*,
+};
+
+use crate::cell_runner::CellRunner;
+
+/// Time after which a caller without an answer sends its job again, in ms.
+const RESEND_MS: u64 = 1_300;
+/// Time for which a caller waits, in ms.
+const PATIENCE_MS: u64 = 2_500;
+/// Time after an endpoint said that it leaves until it gets no start, in ms.
+const DRAIN_MS: u64 = 2_000;
+/// Time after a stand-still in which an entry need not know what happened meanwhile, in ms.
+const IN_TOUCH_MS: u64 = 3_000;
+/// Time between ticks of an entry, in ms.
+const TICK_MS: u64 = 10;
+/// Time between announcements of all endpoints, in ms.
+const NEWS_MS: u64 = 1_500;
+
+/// Sizes and faults of a world.
+#[derive(Clone, Debug)]
+pub struct CellPlan {
+    /// Data centres.
+    pub n_centres: usize,
+    /// Entries in each.
+    pub n_entries: usize,
+    /// Endpoints in each, in racks of four.
+    pub n_runners: usize,
+    /// Jobs that are submitted.
+    pub n_jobs: u64,
+    /// Time over which jobs are submitted and faults come, in ms.
+    pub span_ms: u64,
+    /// Random faults.
+    pub n_faults: usize,
+}
+
+impl Default for CellPlan {
+    fn default() -> CellPlan {
+        CellPlan {
+            n_centres: 2,
+            n_entries: 3,
+            n_runners: 8,
+            n_jobs: 250,
+            span_ms: 12_000,
+            n_faults: 8,
+        }
+    }
+}
+
+/// A fault that can strike.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CellFault {
+    /// An entry is killed and starts again after so many ms.
+    Kill(VmName, u64),
+    /// An entry stands still for so many ms.
+    Freeze(VmName, u64),
+    /// An entry stops in good order and starts again.
+    Stop(VmName),
+    /// A data centre is cut off from the others for so many ms.
+    CutCentre(usize, u64),
+    /// An entry is cut off from all other entries, both ways or one way.
+    CutEntry(VmName, bool, u64),
+    /// An endpoint is cut off from all entries.
+    CutRunner(EndpointName, u64),
+    /// Connections between two entries break and lose what is on its way.
+    Reset(VmName, VmName),
+    /// An endpoint crashes and starts again under its name.
+    Crash(EndpointName, u64),
+    /// An endpoint leaves.
+    Leave(EndpointName),
+    /// Orders to endpoints lose their answer, so many in a thousand.
+    LoseAnswers(u64, u64),
+    /// Orders to endpoints get no answer and are carried out late.
+    DelayOrders(u64, u64),
+    /// An endpoint's runs fail.
+    Fail(EndpointName, u64),
+    /// An endpoint's runs stand still.
+    Hang(EndpointName, u64),
+    /// An endpoint is slow.
+    Slow(EndpointName, u64),
+}
+
+enum WorldEvent {
+    Message(VmName, VmName, u64, CellMessage),
+    Beat(VmName, VmName, PeerBeat),
+    Broken(VmName, VmName),
+    Order(VmName, u64, EndpointOrder, bool),
+    Outcome(VmName, u64, EndpointOrder, OrderOutcome),
+    LookEnds(VmName, u64, EndpointOrder),
+    Withdraw(VmName, u64, CallNumber),
+    Call(VmName, u64, CallNumber, JobOffer),
+    Tick,
+    News,
+    Submit(JobCode),
+    GiveUp(JobCode, u64),
+    Fault(CellFault),
+    Start(VmName),
+    Thaw(VmName),
+    Mend(CellFault),
+    Exit(VmName, u64),
+}
+
+struct WorldJob {
+    offer: JobOffer,
+    work_ms: u64,
+    attempts: u64,
+    is_waiting: Option<(VmName, CallNumber)>,
+    verdict: Option<JobVerdict>,
+    refused_at: Option<ClockTime>,
+}
+
+struct WorldEntry {
+    node: Option<CellNode>,
+    incarnation: u64,
+    frozen: bool,
+    stopping: bool,
+    held: Vec<WorldEvent>,
+}
+
+/// The world.
+pub struct CellWorld {
+    /// What was broken.
+    pub violations: Vec<String>,
+    /// Jobs that ended as completed.
+    pub n_completed: usize,
+    /// Jobs that were refused.
+    pub n_refused: usize,
+    /// Notes of all entries, when they are kept.
+    pub notes: Vec<String>,
+    /// Whether notes are kept.
+    pub keeps_notes: bool,
+    now: ClockTime,
+    rng: ChaCha8Rng,
+    events: BTreeMap<(ClockTime, u64), WorldEvent>,
+    n_events: u64,
+    entries: IndexMap<VmName, WorldEntry>,
+    centre_of: IndexMap<VmName, usize>,
+    runners: IndexMap<EndpointName, CellRunner>,
+    runner_centre: IndexMap<EndpointName, usize>,
+    leaving_since: IndexMap<EndpointName, ClockTime>,
+    /// When entries were last started, frozen or thawed.
+    disturbed_at: IndexMap<VmName, ClockTime>,
+    pending_looks: IndexMap<EndpointName, Vec<(VmName, u64, EndpointOrder)>>,
+    cuts: BTreeSet<(String, String)>,
+    epochs: IndexMap<(VmName, VmName), u64>,
+    last_sent: IndexMap<(VmName, VmName), ClockTime>,
+    jobs: IndexMap<JobCode, WorldJob>,
+    calls: IndexMap<(VmName, CallNumber), JobCode>,
+    next_call: u64,
+    lose_milli: u64,
+    delay_milli: u64,
+    down: IndexSet<VmName>,
+    /// Orders whose outcome is still to come.
+    open_orders: IndexSet<(VmName, u64, u64)>,
+}
+
+fn vm_of(centre: usize, idx: usize) -> VmName {
+    VmName(format!("entry-{centre}-{idx}"))
+}
+
+fn room() -> ResourceRoom {
+    ResourceRoom { cpu: 16_000, mem_mb: 1_000, gpu: 0 }
+}
+
+fn plan() -> RoutePlan {
+    let route = |name: &str, priority| RouteRule {
+        name: name.to_owned(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        timeout_ms: 1_500,
+        service: "s".to_owned(),
+        priority,
+        max_attempts: 3,
+        stretch_milli: 1_600,
+        slack_ms: 60,
+        needs_advice: false,
+    };
+    RoutePlan {
+        version: 1,
+        routes: vec![route("short", 0), route("long", 1)],
+        services: vec!["s".to_owned()],
+        limits: RequestLimits::default(),
+    }
+}
+
+impl CellWorld {
+    /// A world with faults drawn by the seed.
+    pub fn new(seed: u64, plan: &CellPlan) -> CellWorld {
+        let mut world = CellWorld {
+            violations: Vec::new(),
+            n_completed: 0,
+            n_refused: 0,
+            notes: Vec::new(),
+            keeps_notes: false,
+            now: ClockTime(1_000_000_000),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            n_events: 0,
+            entries: IndexMap::new(),
+            centre_of: IndexMap::new(),
+            runners: IndexMap::new(),
+            runner_centre: IndexMap::new(),
+            leaving_since: IndexMap::new(),
+            disturbed_at: IndexMap::new(),
+            pending_looks: IndexMap::new(),
+            cuts: BTreeSet::new(),
+            epochs: IndexMap::new(),
+            last_sent: IndexMap::new(),
+            jobs: IndexMap::new(),
+            calls: IndexMap::new(),
+            next_call: 0,
+            lose_milli: 0,
+            delay_milli: 0,
+            down: IndexSet::new(),
+            open_orders: IndexSet::new(),
+        };
+        world.build(plan);
+        let n_faults = plan.n_faults;
+        for _ in 0..n_faults {
+            let fault = world.draw_fault(plan);
+            let at = world.now.plus_ms(4_000 + world.rng.random_range(0..plan.span_ms));
+            world.push(at, WorldEvent::Fault(fault));
+        }
+        world
+    }
+
+    fn build(&mut self, plan: &CellPlan) {
+        for centre in 0..plan.n_centres {
+            for idx in 0..plan.n_entries {
+                let vm = vm_of(centre, idx);
+                self.centre_of.insert(vm.clone(), centre);
+                let entry = WorldEntry {
+                    node: None,
+                    incarnation: 0,
+                    frozen: false,
+                    stopping: false,
+                    held: Vec::new(),
+                };
+                self.entries.insert(vm.clone(), entry);
+                let at = self.now.plus_ms(self.rng.random_range(0..300));
+                self.push(at, WorldEvent::Start(vm));
+            }
+            for idx in 0..plan.n_runners {
+                let name = EndpointName(format!("runner-{centre}-{idx}"));
+                let rack = format!("r{centre}-{}", idx / 4);
+                let record = EndpointRecord {
+                    name: name.clone(),
+                    born: self.now.0,
+                    seq: 1,
+                    service: "s".to_owned(),
+                    address: format!("10.{centre}.0.{idx}:1"),
+                    centre: DataCentre(format!("centre-{centre}")),
+                    rack: rack.clone(),
+                    labels: vec!["a".to_owned(), rack],
+                    room: room(),
+                    leaving: false,
+                };
+                let clock_ahead = self.rng.random_range(0..100_000);
+                self.runners.insert(name.clone(), CellRunner::new(record, clock_ahead));
+                self.runner_centre.insert(name, centre);
+            }
+        }
+        self.push(self.now, WorldEvent::Tick);
+        self.push(self.now.plus_ms(400), WorldEvent::News);
+        for number in 0..plan.n_jobs {
+            let code = JobCode(number + 1);
+            let is_short = self.rng.random_range(0..3) == 0;
+            let centre = self.rng.random_range(0..plan.n_centres);
+            let rack = self.rng.random_range(0..plan.n_runners.div_ceil(4));
+            let work_ms = if is_short { 60 } else { self.rng.random_range(100..900) };
+            let step = JobStep {
+                count: self.rng.random_range(1..6),
+                need: ResourceRoom { cpu: self.rng.random_range(5_000..9_000), mem_mb: 10, gpu: 0 },
+                declared_ms: work_ms,
+                after: Vec::new(),
+                data_rack: is_short.then(|| format!("r{centre}-{rack}")),
+                label: None,
+                max_on_endpoint: None,
+            };
+            let offer = JobOffer {
+                job: code,
+                route: if is_short { "short" } else { "long" }.to_owned(),
+                service: "s".to_owned(),
+                spec: "x".to_owned(),
+                steps: vec![step],
+                priority: 0,
+                max_attempts: 3,
+                stretch_milli: 1_600,
+                slack_ms: 60,
+                age_ms: 0,
+                remaining_ms: PATIENCE_MS,
+                first_run: 0,
+                number: 0,
+                is_repeat: false,
+            };
+            let job = WorldJob {
+                offer,
+                work_ms,
+                attempts: 0,
+                is_waiting: None,
+                verdict: None,
+                refused_at: None,
+            };
+            self.jobs.insert(code, job);
+            let at = self.now.plus_ms(3_000 + self.rng.random_range(0..plan.span_ms));
+            self.push(at, WorldEvent::Submit(code));
+        }
+    }
+
+    fn draw_fault(&mut self, plan: &CellPlan) -> CellFault {
+        let centre = self.rng.random_range(0..plan.n_centres);
+        let vm = vm_of(centre, self.rng.random_range(0..plan.n_entries));
+        let other_centre = self.rng.random_range(0..plan.n_centres);
+        let other = vm_of(other_centre, self.rng.random_range(0..plan.n_entries));
+        let idx = self.rng.random_range(0..plan.n_runners);
+        let runner = EndpointName(format!("runner-{centre}-{idx}"));
+        let span_ms = self.rng.random_range(300..6_000);
+        let milli = self.rng.random_range(20..200);
+        match self.rng.random_range(0..14) {
+            0 => CellFault::Kill(vm, span_ms),
+            1 => CellFault::Freeze(vm, span_ms),
+            2 => CellFault::Stop(vm),
+            3 => CellFault::CutCentre(centre, span_ms),
+            4 => CellFault::CutEntry(vm, self.rng.random_range(0..2) == 0, span_ms),
+            5 => CellFault::CutRunner(runner, span_ms),
+            6 => CellFault::Reset(vm, other),
+            7 => CellFault::Crash(runner, span_ms),
+            8 => CellFault::Leave(runner),
+            9 => CellFault::LoseAnswers(milli, span_ms),
+            10 => CellFault::DelayOrders(milli, span_ms),
+            11 => CellFault::Fail(runner, span_ms),
+            12 => CellFault::Hang(runner, span_ms),
+            _ => CellFault::Slow(runner, span_ms),
+        }
+    }
+
+    /// Adds a fault `after_ms` from the start.
+    pub fn add_fault(&mut self, after_ms: u64, fault: CellFault) {
+        self.push(self.now.plus_ms(after_ms), WorldEvent::Fault(fault));
+    }
+
+    fn push(&mut self, at: ClockTime, event: WorldEvent) {
+        self.n_events += 1;
+        self.events.insert((at, self.n_events), event);
+    }
+
+    /// Plays until `span_ms` have passed, and checks that every job was answered.
+    pub fn run(&mut self, span_ms: u64) {
+        let end = self.now.plus_ms(span_ms);
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if end < at {
+                break;
+            }
+            self.now = at;
+            self.take(event);
+        }
+        let open: Vec<String> = self
+            .jobs
+            .iter()
+            .filter(|(_, it)| it.verdict.is_none())
+            .map(|(code, _)| code.to_string())
+            .collect();
+        if !open.is_empty() {
+            self.violations.push(format!("jobs without an answer: {}", open.join(" ")));
+        }
+    }
+
+    fn is_cut(&self, from: &str, to: &str) -> bool {
+        self.cuts.contains(&(from.to_owned(), to.to_owned()))
+    }
+
+    fn take(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::Tick => {
+                for vm in self.entries.keys().cloned().collect::<Vec<_>>() {
+                    self.with_node(&vm, |node, now| node.tick(now));
+                }
+                self.tick_runners();
+                self.push(self.now.plus_ms(TICK_MS), WorldEvent::Tick);
+            }
+            WorldEvent::News => {
+                self.announce_all();
+                self.push(self.now.plus_ms(NEWS_MS), WorldEvent::News);
+            }
+            WorldEvent::Start(vm) => self.start(&vm),
+            WorldEvent::Thaw(vm) => self.thaw(&vm),
+            WorldEvent::Exit(vm, incarnation) => {
+                if self.entries[&vm].incarnation == incarnation {
+                    self.kill(&vm, 500);
+                }
+            }
+            WorldEvent::Submit(code) => self.submit(code),
+            WorldEvent::GiveUp(code, attempt) => self.give_up(code, attempt),
+            WorldEvent::Fault(fault) => self.strike(fault),
+            WorldEvent::Mend(fault) => self.mend(&fault),
+            event => self.take_traffic(event),
+        }
+    }
+
+    fn take_traffic(&mut self, event: WorldEvent) {
+        let to = match &event {
+            WorldEvent::Message(_, to, ..) | WorldEvent::Beat(_, to, _) => to.clone(),
+            WorldEvent::Broken(to, _) | WorldEvent::Outcome(to, ..) => to.clone(),
+            WorldEvent::Withdraw(to, ..) | WorldEvent::Call(to, ..) => to.clone(),
+            WorldEvent::Order(from, ..) => from.clone(),
+            WorldEvent::LookEnds(..) => {
+                self.end_look(event);
+                return;
+            }
+            _ => return,
+        };
+        if let WorldEvent::Order(vm, incarnation, order, is_late) = event {
+            self.carry_out(vm, incarnation, order, is_late);
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&to) else { return };
+        if entry.frozen {
+            // Sockets keep what comes for a process that stands still.
+            entry.held.push(event);
+            return;
+        }
+        match event {
+            WorldEvent::Message(from, to, epoch, message) => {
+                let key = (from.clone(), to.clone());
+                if self.epochs.get(&key).copied().unwrap_or(0) == epoch
+                    && !self.is_cut(from.as_str(), to.as_str())
+                {
+                    self.with_node(&to, |node, now| node.receive(&from, message, now));
+                }
+            }
+            WorldEvent::Beat(from, to, beat) => {
+                let is_cut = self.is_cut(from.as_str(), to.as_str());
+                self.with_node(&to, |node, now| {
+                    if !is_cut {
+                        node.receive_beat(&from, beat, now);
+                    }
+                });
+            }
+            WorldEvent::Broken(to, other) => {
+                self.with_node(&to, |node, now| node.connection_broke(&other, now));
+            }
+            WorldEvent::Outcome(vm, incarnation, order, outcome) => {
+                let open = (vm.clone(), incarnation, order.number.0);
+                let is_open = self.open_orders.swap_remove(&open);
+                if is_open && self.entries[&vm].incarnation == incarnation {
+                    self.with_node(&vm, |node, now| node.take_outcome(&order, outcome, now));
+                }
+            }
+            WorldEvent::Withdraw(vm, incarnation, call) => {
+                self.with_life(&vm, incarnation, |node, now| node.withdraw(call, now));
+            }
+            WorldEvent::Call(vm, incarnation, call, offer) => {
+                self.with_life(&vm, incarnation, |node, now| node.submit(call, offer, now));
+            }
+            _ => {}
+        }
+    }
+
+    // Entries
+
+    fn start(&mut self, vm: &VmName) {
+        let now = self.now;
+        let centre = self.centre_of[vm];
+        let Some(entry) = self.entries.get_mut(vm) else { return };
+        if entry.node.is_some() {
+            return;
+        }
+        entry.incarnation += 1;
+        entry.frozen = false;
+        entry.stopping = false;
+        entry.held.clear();
+        let settings = CellSettings {
+            owner: OwnerId { vm: vm.clone(), incarnation: now.0 },
+            centre: DataCentre(format!("centre-{centre}")),
+            weight: 250,
+            controls: Vec::new(),
+        };
+        entry.node = Some(CellNode::new(settings, now));
+        self.down.shift_remove(vm);
+        // A control VM would tell of the routes, the endpoints and the others.
+        let members: Vec<VmName> = self.entries.keys().cloned().collect();
+        let records: Vec<(EndpointRecord, bool)> =
+            self.runners.values().map(|it| (it.record.clone(), !it.up)).collect();
+        let beat = PeerBeat {
+            owner: OwnerId { vm: VmName::from("control"), incarnation: now.0 },
+            sent_at: now,
+            role: yuccamux::vm_layout::VmRole::Control,
+            centre: DataCentre::from("centre-0"),
+            weight: 0,
+            plan_version: 1,
+            stopping: false,
+            members,
+            group: Default::default(),
+            cells: Vec::new(),
+        };
+        self.with_node(vm, |node, now| {
+            let control = VmName::from("control");
+            node.receive_beat(&control, beat, now);
+            node.receive(&control, CellMessage::Plan(plan()), now);
+            node.receive(&control, CellMessage::Endpoints(records), now);
+        });
+    }
+
+    fn with_node(&mut self, vm: &VmName, act: impl FnOnce(&mut CellNode, ClockTime)) {
+        let now = self.now;
+        let Some(entry) = self.entries.get_mut(vm) else { return };
+        if entry.frozen {
+            return;
+        }
+        let incarnation = entry.incarnation;
+        let Some(node) = &mut entry.node else { return };
+        act(node, now);
+        for effect in node.take_effects() {
+            self.carry_out_effect(vm, incarnation, effect);
+        }
+    }
+
+    /// Acts on an entry if it still is in this life.
+    fn with_life(
+        &mut self,
+        vm: &VmName,
+        incarnation: u64,
+        act: impl FnOnce(&mut CellNode, ClockTime),
+    ) {
+        if self.entries[vm].incarnation == incarnation {
+            self.with_node(vm, act);
+        }
+    }
+
+    fn carry_out_effect(&mut self, vm: &VmName, incarnation: u64, effect: NodeEffect) {
+        match effect {
+            NodeEffect::Order(order) => self.send_order(vm, incarnation, order),
+            NodeEffect::Send(to, message) => {
+                if self.entries.contains_key(&to) && !self.is_cut(vm.as_str(), to.as_str()) {
+                    let epoch = self.epochs.get(&(vm.clone(), to.clone())).copied().unwrap_or(0);
+                    let at = self.now.plus_ms(self.link_ms(vm, &to));
+                    // A connection keeps its messages in order.
+                    let last = self.last_sent.entry((vm.clone(), to.clone())).or_default();
+                    *last = at.max(*last);
+                    let at = *last;
+                    self.push(at, WorldEvent::Message(vm.clone(), to, epoch, message));
+                }
+            }
+            NodeEffect::Beat(to, beat) => {
+                if self.entries.contains_key(&to) && !self.is_cut(vm.as_str(), to.as_str()) {
+                    let at = self.now.plus_ms(self.link_ms(vm, &to));
+                    self.push(at, WorldEvent::Beat(vm.clone(), to, beat));
+                }
+            }
+            NodeEffect::Answer(call, verdict) => self.answer(vm, call, verdict),
+            NodeEffect::Note(note) => {
+                if self.keeps_notes {
+                    self.notes.push(format!("{vm} {note:?}"));
+                }
+            }
+        }
+    }
+
+    fn link_ms(&mut self, from: &VmName, to: &VmName) -> u64 {
+        let far = u64::from(self.centre_of[from] != self.centre_of[to]);
+        1 + far + u64::from(self.rng.random_range(0..20) == 0)
+    }
+
+    fn kill(&mut self, vm: &VmName, down_ms: u64) {
+        let Some(entry) = self.entries.get_mut(vm) else { return };
+        entry.node = None;
+        entry.frozen = false;
+        entry.held.clear();
+        entry.incarnation += 1;
+        self.down.insert(vm.clone());
+        for other in self.entries.keys().cloned().collect::<Vec<_>>() {
+            if other != *vm {
+                self.push(self.now.plus_ms(1), WorldEvent::Broken(other, vm.clone()));
+            }
+        }
+        self.push(self.now.plus_ms(down_ms), WorldEvent::Start(vm.clone()));
+        self.lose_callers(vm);
+    }
+
+    /// Callers of an entry that is gone send their jobs again.
+    fn lose_callers(&mut self, vm: &VmName) {
+        let lost: Vec<JobCode> = self
+            .jobs
+            .iter()
+            .filter(|(_, it)| it.is_waiting.as_ref().is_some_and(|(at, _)| at == vm))
+            .map(|(code, _)| *code)
+            .collect();
+        for code in lost {
+            self.resend(code);
+        }
+    }
+
+    fn resend(&mut self, code: JobCode) {
+        if let Some(job) = self.jobs.get_mut(&code) {
+            job.is_waiting = None;
+        }
+        self.push(self.now.plus_ms(RESEND_MS), WorldEvent::Submit(code));
+    }
+
+    fn thaw(&mut self, vm: &VmName) {
+        let Some(entry) = self.entries.get_mut(vm) else { return };
+        if !std::mem::replace(&mut entry.frozen, false) {
+            return;
+        }
+        self.disturbed_at.insert(vm.clone(), self.now);
+        let held = std::mem::take(&mut entry.held);
+        for event in held {
+            self.take_traffic(event);
+        }
+    }
+
+    // Callers
+
+    fn submit(&mut self, code: JobCode) {
+        let up: Vec<VmName> = self
+            .entries
+            .iter()
+            .filter(|(_, it)| it.node.is_some() && !it.stopping)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        if up.is_empty() {
+            self.push(self.now.plus_ms(RESEND_MS), WorldEvent::Submit(code));
+            return;
+        }
+        let vm = up[self.rng.random_range(0..up.len())].clone();
+        self.next_call += 1;
+        let call = CallNumber(self.next_call);
+        let Some(job) = self.jobs.get_mut(&code) else { return };
+        if job.verdict.is_some() {
+            return;
+        }
+        job.attempts += 1;
+        job.refused_at = None;
+        job.is_waiting = Some((vm.clone(), call));
+        let (attempt, offer) = (job.attempts, job.offer.clone());
+        self.calls.insert((vm.clone(), call), code);
+        self.push(self.now.plus_ms(PATIENCE_MS), WorldEvent::GiveUp(code, attempt));
+        let incarnation = self.entries[&vm].incarnation;
+        self.take_traffic(WorldEvent::Call(vm, incarnation, call, offer));
+    }
+
+    fn give_up(&mut self, code: JobCode, attempt: u64) {
+        let Some(job) = self.jobs.get(&code) else { return };
+        if job.attempts != attempt || job.verdict.is_some() {
+            return;
+        }
+        let Some((vm, call)) = job.is_waiting.clone() else { return };
+        let incarnation = self.entries[&vm].incarnation;
+        self.take_traffic(WorldEvent::Withdraw(vm, incarnation, call));
+        self.resend(code);
+    }
+
+    fn answer(&mut self, vm: &VmName, call: CallNumber, verdict: JobVerdict) {
+        let Some(code) = self.calls.get(&(vm.clone(), call)).copied() else { return };
+        let Some(job) = self.jobs.get_mut(&code) else { return };
+        if job.is_waiting != Some((vm.clone(), call)) {
+            return;
+        }
+        job.is_waiting = None;
+        match verdict {
+            JobVerdict::Completed => {
+                job.verdict = Some(verdict);
+                self.n_completed += 1;
+            }
+            JobVerdict::Failed => job.verdict = Some(verdict),
+            JobVerdict::Refused(..) => {
+                // Only when all its attempts were refused does nothing of it run.
+                if job.attempts == 1 {
+                    job.refused_at = Some(self.now);
+                }
+                job.verdict = Some(verdict);
+                self.n_refused += 1;
+            }
+            JobVerdict::Unknown | JobVerdict::NotLeader => self.resend(code),
+        }
+    }
+
+    // Endpoints
+
+    fn announce_all(&mut self) {
+        let mut records = Vec::new();
+        for runner in self.runners.values_mut().filter(|it| it.up) {
+            runner.record.seq += 1;
+            records.push((runner.record.clone(), false));
+        }
+        let control = VmName::from("control");
+        for vm in self.entries.keys().cloned().collect::<Vec<_>>() {
+            let records = records.clone();
+            self.with_node(&vm, |node, now| {
+                node.receive(&control, CellMessage::Endpoints(records), now);
+            });
+        }
+    }
+
+    fn send_order(&mut self, vm: &VmName, incarnation: u64, order: EndpointOrder) {
+        let limit = self.now.plus_ms(order.time_limit_ms);
+        self.open_orders.insert((vm.clone(), incarnation, order.number.0));
+        if self.rng.random_range(0..1000) < self.delay_milli {
+            let late = self.now.plus_ms(self.rng.random_range(2_000..12_000));
+            self.push(late, WorldEvent::Order(vm.clone(), incarnation, order.clone(), true));
+            let lost = WorldEvent::Outcome(vm.clone(), incarnation, order, OrderOutcome::Lost);
+            self.push(limit, lost);
+            return;
+        }
+        let at = self.now.plus_ms(1);
+        self.push(at, WorldEvent::Order(vm.clone(), incarnation, order.clone(), false));
+        let lost = WorldEvent::Outcome(vm.clone(), incarnation, order, OrderOutcome::Lost);
+        self.push(limit, lost);
+    }
+
+    fn carry_out(&mut self, vm: VmName, incarnation: u64, order: EndpointOrder, is_late: bool) {
+        let name = order.endpoint.clone();
+        if self.is_cut(vm.as_str(), name.as_str()) {
+            return;
+        }
+        let (need, work_ms) = self.work_of(&order);
+        let now = self.now;
+        let Some(runner) = self.runners.get_mut(&name) else { return };
+        if !runner.up || self.down.contains(&vm) && !is_late {
+            return;
+        }
+        let had = if let OrderBody::Start { task, .. } = &order.body {
+            runner.runs.contains_key(task)
+        } else {
+            true
+        };
+        let outcome = runner.carry_out(&order, need, work_ms, now);
+        if !had
+            && let OrderBody::Start { task, .. } = &order.body
+            && matches!(outcome, OrderOutcome::Carried(..))
+        {
+            let task = *task;
+            self.check_start(&name, task, &vm);
+        }
+        if is_late {
+            return;
+        }
+        if let OrderBody::Look { wait_ms, .. } = &order.body
+            && 0 < *wait_ms
+            && matches!(outcome, OrderOutcome::Carried(..))
+            && !self.runners[&name].has_ends()
+        {
+            let at = self.now.plus_ms(*wait_ms);
+            let looks = self.pending_looks.entry(name).or_default();
+            looks.push((vm.clone(), incarnation, order.clone()));
+            self.push(at, WorldEvent::LookEnds(vm, incarnation, order));
+            return;
+        }
+        self.return_outcome(vm, incarnation, order, outcome);
+    }
+
+    fn return_outcome(
+        &mut self,
+        vm: VmName,
+        incarnation: u64,
+        order: EndpointOrder,
+        outcome: OrderOutcome,
+    ) {
+        if self.is_cut(order.endpoint.as_str(), vm.as_str()) {
+            return;
+        }
+        if self.rng.random_range(0..1000) < self.lose_milli {
+            return;
+        }
+        let at = self.now.plus_ms(1);
+        self.push(at, WorldEvent::Outcome(vm, incarnation, order, outcome));
+    }
+
+    fn work_of(&self, order: &EndpointOrder) -> (ResourceRoom, u64) {
+        let OrderBody::Start { task, .. } = &order.body else { return (room(), 0) };
+        let Some(job) = self.jobs.get(&task.job) else { return (room(), 0) };
+        (job.offer.steps[task.step as usize].need, job.work_ms)
+    }
+
+    fn check_start(&mut self, name: &EndpointName, task: TaskRef, vm: &VmName) {
+        let twice = self
+            .runners
+            .iter()
+            .find(|(other, it)| *other != name && it.up && it.runs.contains_key(&task));
+        if let Some((other, _)) = twice {
+            let text = format!("{}: {task:?} at work on {other} and {name}, by {vm}", self.now);
+            self.violations.push(text);
+        }
+        if let Some(job) = self.jobs.get(&task.job)
+            && job.refused_at.is_some()
+        {
+            self.violations.push(format!("{}: {task:?} of a refused job starts", self.now));
+        }
+        // One that stood still has not heard yet that an endpoint leaves.
+        let disturbed_at = self.disturbed_at.get(vm).copied().unwrap_or_default();
+        if let Some(since) = self.leaving_since.get(name)
+            && IN_TOUCH_MS <= self.now.since_ms(disturbed_at)
+            && DRAIN_MS < self.now.since_ms(*since)
+        {
+            self.violations.push(format!("{}: {task:?} starts on {name}, which leaves", self.now));
+        }
+    }
+
+    fn end_look(&mut self, event: WorldEvent) {
+        let WorldEvent::LookEnds(vm, incarnation, order) = event else { return };
+        let Some(looks) = self.pending_looks.get_mut(&order.endpoint) else { return };
+        let Some(idx) = looks.iter().position(|(_, _, it)| it.number == order.number) else {
+            return;
+        };
+        looks.swap_remove(idx);
+        self.answer_look(vm, incarnation, order);
+    }
+
+    fn answer_look(&mut self, vm: VmName, incarnation: u64, order: EndpointOrder) {
+        let Some(runner) = self.runners.get(&order.endpoint) else { return };
+        if !runner.up || self.is_cut(vm.as_str(), order.endpoint.as_str()) {
+            return;
+        }
+        let clock = self.now.0 + runner.clock_ahead;
+        let outcome = OrderOutcome::Carried(clock, Some(runner.lists(self.now)));
+        self.return_outcome(vm, incarnation, order, outcome);
+    }
+
+    fn tick_runners(&mut self) {
+        let now = self.now;
+        let draw = |task: &TaskRef, run: u32| {
+            (task.job.0 * 7919 + u64::from(task.idx) * 31 + u64::from(run) * 17) % 1000
+        };
+        let mut ended = Vec::new();
+        for (name, runner) in &mut self.runners {
+            if runner.tick(now, draw) {
+                ended.push(name.clone());
+            }
+        }
+        for name in ended {
+            for (vm, incarnation, order) in
+                self.pending_looks.get_mut(&name).map(std::mem::take).unwrap_or_default()
+            {
+                self.answer_look(vm, incarnation, order);
+            }
+        }
+    }
+
+    // Faults
+
+    fn strike(&mut self, fault: CellFault) {
+        if self.keeps_notes {
+            self.notes.push(format!("{} fault {fault:?}", self.now));
+        }
+        let mend_after = |span_ms: &u64| self.now.plus_ms(*span_ms);
+        let mend_at = match &fault {
+            CellFault::CutCentre(_, span_ms)
+            | CellFault::CutEntry(_, _, span_ms)
+            | CellFault::CutRunner(_, span_ms)
+            | CellFault::LoseAnswers(_, span_ms)
+            | CellFault::DelayOrders(_, span_ms)
+            | CellFault::Fail(_, span_ms)
+            | CellFault::Hang(_, span_ms)
+            | CellFault::Slow(_, span_ms)
+            | CellFault::Crash(_, span_ms) => Some(mend_after(span_ms)),
+            _ => None,
+        };
+        match &fault {
+            CellFault::Kill(vm, span_ms) => self.kill(vm, *span_ms),
+            CellFault::Freeze(vm, span_ms) => {
+                if let Some(entry) = self.entries.get_mut(vm) {
+                    entry.frozen = true;
+                }
+                self.push(self.now.plus_ms(*span_ms), WorldEvent::Thaw(vm.clone()));
+            }
+            CellFault::Stop(vm) => {
+                self.with_node(vm, |node, now| node.stop(now));
+                if let Some(entry) = self.entries.get_mut(vm) {
+                    entry.stopping = true;
+                    let incarnation = entry.incarnation;
+                    let at = self.now.plus_ms(5_000);
+                    self.push(at, WorldEvent::Exit(vm.clone(), incarnation));
+                }
+            }
+            CellFault::Reset(lhs, rhs) => self.reset(lhs, rhs),
+            CellFault::Leave(name) => {
+                if let Some(runner) = self.runners.get_mut(name) {
+                    runner.record.leaving = true;
+                    runner.record.seq += 1;
+                    self.leaving_since.entry(name.clone()).or_insert(self.now);
+                    self.announce_all();
+                }
+            }
+            CellFault::Crash(name, _) => {
+                if let Some(runner) = self.runners.get_mut(name) {
+                    runner.up = false;
+                    runner.runs.clear();
+                }
+                self.pending_looks.swap_remove(name);
+            }
+            CellFault::LoseAnswers(milli, _) => self.lose_milli = *milli,
+            CellFault::DelayOrders(milli, _) => self.delay_milli = *milli,
+            CellFault::Fail(name, _) => self.with_runner(name, |it| it.fails_milli = 900),
+            CellFault::Hang(name, _) => self.with_runner(name, |it| it.hangs = true),
+            CellFault::Slow(name, _) => self.with_runner(name, |it| it.factor_milli = 6_000),
+            CellFault::CutCentre(..) | CellFault::CutEntry(..) | CellFault::CutRunner(..) => {
+                for cut in self.cuts_of(&fault) {
+                    self.cuts.insert(cut);
+                }
+            }
+        }
+        if let Some(at) = mend_at {
+            self.push(at, WorldEvent::Mend(fault));
+        }
+    }
+
+    fn with_runner(&mut self, name: &EndpointName, act: impl FnOnce(&mut CellRunner)) {
+        if let Some(runner) = self.runners.get_mut(name) {
+            act(runner);
+        }
+    }
+
+    fn cuts_of(&self, fault: &CellFault) -> Vec<(String, String)> {
+        let mut cuts = Vec::new();
+        let mut both = |lhs: &str, rhs: &str| {
+            cuts.push((lhs.to_owned(), rhs.to_owned()));
+            cuts.push((rhs.to_owned(), lhs.to_owned()));
+        };
+        match fault {
+            CellFault::CutCentre(centre, _) => {
+                for (lhs, lhs_centre) in &self.centre_of {
+                    for (rhs, rhs_centre) in &self.centre_of {
+                        if lhs_centre == centre && rhs_centre != centre {
+                            both(lhs.as_str(), rhs.as_str());
+                        }
+                    }
+                    for (runner, runner_centre) in &self.runner_centre {
+                        if (lhs_centre == centre) != (runner_centre == centre) {
+                            both(lhs.as_str(), runner.as_str());
+                        }
+                    }
+                }
+            }
+            CellFault::CutEntry(vm, one_way, _) => {
+                for other in self.entries.keys().filter(|it| *it != vm) {
+                    cuts.push((vm.0.clone(), other.0.clone()));
+                    if !one_way {
+                        cuts.push((other.0.clone(), vm.0.clone()));
+                    }
+                }
+            }
+            CellFault::CutRunner(name, _) => {
+                for vm in self.entries.keys() {
+                    both(vm.as_str(), name.as_str());
+                }
+            }
+            _ => {}
+        }
+        cuts
+    }
+
+    fn mend(&mut self, fault: &CellFault) {
+        match fault {
+            CellFault::LoseAnswers(..) => self.lose_milli = 0,
+            CellFault::DelayOrders(..) => self.delay_milli = 0,
+            CellFault::Fail(name, _) => self.with_runner(name, |it| it.fails_milli = 0),
+            CellFault::Hang(name, _) => self.with_runner(name, |it| it.hangs = false),
+            CellFault::Slow(name, _) => self.with_runner(name, |it| it.factor_milli = 1_000),
+            CellFault::Crash(name, _) => {
+                let now = self.now;
+                self.leaving_since.swap_remove(name);
+                self.with_runner(name, |it| it.begin_life(now));
+            }
+            _ => {
+                for cut in self.cuts_of(fault) {
+                    self.cuts.remove(&cut);
+                }
+            }
+        }
+    }
+
+    fn reset(&mut self, lhs: &VmName, rhs: &VmName) {
+        if lhs == rhs {
+            return;
+        }
+        for (from, to) in [(lhs, rhs), (rhs, lhs)] {
+            *self.epochs.entry((from.clone(), to.clone())).or_default() += 1;
+            self.push(self.now.plus_ms(1), WorldEvent::Broken(to.clone(), from.clone()));
+        }
+    }
+}
