lib: tests of a cell's leader; an adopted run's former lease counts before it is called over

Change: a claim assumes the longest lease that endpoints grant. A queue of jobs that arrive in the same millisecond counts as ahead (found by burst_that_cannot_be_served_is_refused_on_arrival, which failed first).

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -33,8 +33,9 @@
 /// enough to ask again within the lease.
 const ORDER_TIME_MS: u64 = 200;
 /// Time for which a run of a former leader waits for its job, in ms: entries offer their
-/// jobs again as soon as they hear of the new leader.
-const ORPHAN_MS: u64 = 700;
+/// jobs again as soon as they hear of the new leader, and the caller of an entry that is
+/// gone may send a second copy elsewhere.
+const ORPHAN_MS: u64 = 300;
 /// Time from the acknowledgement of a stop until the run is over, in ms.
 const STOP_MS: u64 = 55;
 /// Time after which an unanswered stop is sent again, in ms.
@@ -315,7 +316,7 @@
             return;
         }
         let is_urgent = endpoint.runs.values().any(|it| it.phase == RunPhase::Doubted);
-        let is_idle = endpoint.runs.is_empty();
+        let is_idle = endpoint.runs.values().all(|it| it.phase == RunPhase::Orphan);
         let wait_ms = if is_claim || is_urgent || is_idle || 0 < endpoint.n_silent {
             0
         } else {
@@ -475,7 +476,7 @@
             return 0;
         }
         let rank = self.rank(job, now);
-        let ahead = self.jobs.values().filter(|it| it.waits() && self.rank(it, now) < rank);
+        let ahead = self.jobs.values().filter(|it| it.waits() && self.rank(it, now) <= rank);
         let work: u64 = ahead
             .map(|it| {
                 let n_waiting = it.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting).count();
@@ -927,7 +928,7 @@
                 endpoint.hear(clock, now);
             }
         }
-        endpoint.claimed = true;
+        endpoint.claim();
         self.is_obeyed = true;
         let OrderBody::Look { cursor, .. } = order.body else { return };
         if endpoint.cursor <= cursor {
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -16,6 +16,8 @@
 const CLOCK_RATE_MILLI: u64 = 980;
 /// Margin on an endpoint's clock before a lease counts as run out, in ms: link delays.
 const LAPSE_MARGIN_MS: u64 = 30;
+/// Longest lease that an endpoint grants, in ms: a former leader may have given it.
+const LONGEST_LEASE_MS: u64 = 1_000;
 /// Failures in a row after which an endpoint gets no work for a time; one may be a task's own.
 const QUARANTINE_FAILURES: u32 = 2;
 /// First quarantine, in ms: a few tasks long. Each further one is twice as long.
@@ -188,6 +190,15 @@
         self.clock_now(now).is_some_and(|it| self.lease_until + LAPSE_MARGIN_MS < it)
     }
 
+    /// Notes that the endpoint obeys; its runs may hold a lease that a former leader gave.
+    pub(crate) fn claim(&mut self) {
+        if !std::mem::replace(&mut self.claimed, true)
+            && let Some((clock, _)) = self.clock
+        {
+            self.lease_until = self.lease_until.max(clock + LONGEST_LEASE_MS);
+        }
+    }
+
     /// Notes an answer.
     pub(crate) fn hear(&mut self, clock: u64, now: ClockTime) {
         self.clock = Some((clock, now));
