--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::{
     cell::{
         cell_message::{CellName, CellReport},
-        cell_placement::{self, PlacementAsk},
+        cell_placement::{self, PlacementAsk, PlacementChoice},
         decision_note::{DecisionNote, NoteEvent},
         endpoint_directory::EndpointRecord,
         endpoint_order::{
@@ -635,8 +635,9 @@
             return;
         }
         order.sort_unstable();
+        let mut promised = IndexMap::new();
         for (_, code) in order {
-            self.place_job(code, now);
+            self.place_job(code, &mut promised, now);
         }
     }
 
@@ -645,7 +646,12 @@
         self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed)
     }
 
-    fn place_job(&mut self, code: JobCode, now: ClockTime) {
+    fn place_job(
+        &mut self,
+        code: JobCode,
+        promised: &mut IndexMap<EndpointName, u32>,
+        now: ClockTime,
+    ) {
         let Some(job) = self.jobs.get(&code) else { return };
         let mut placed = Vec::new();
         for (idx, task) in job.tasks.iter().enumerate() {
@@ -661,14 +667,17 @@
             if step.data_rack.as_ref().is_some_and(|it| *it != self.cell.rack) {
                 usual_ms *= 2;
             }
-            let ask = PlacementAsk { task: task.task, step, usual_ms, avoid: task.avoid.as_ref() };
-            let mut choice = cell_placement::choose_endpoint(&ask, &self.endpoints, now);
-            if choice.is_none() && self.endpoints.len() == 1 {
-                let ask = PlacementAsk { avoid: None, ..ask };
-                choice = cell_placement::choose_endpoint(&ask, &self.endpoints, now);
+            // A lone endpoint is all that there is, also after a failure.
+            let avoid = task.avoid.as_ref().filter(|_| 1 < self.endpoints.len());
+            let due_at = job.due_at;
+            let ask = PlacementAsk { task: task.task, step, usual_ms, due_at, avoid };
+            match cell_placement::choose_endpoint(&ask, &self.endpoints, promised, now) {
+                PlacementChoice::Start(name, predicted_ms) => {
+                    self.start_task(code, idx, &name, predicted_ms, now);
+                }
+                PlacementChoice::Wait(name) => *promised.entry(name).or_default() += 1,
+                PlacementChoice::Nowhere => return,
             }
-            let Some((name, predicted_ms)) = choice else { return };
-            self.start_task(code, idx, &name, predicted_ms, now);
         }
     }
 
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -141,6 +141,21 @@
         self.record.room.minus(&taken)
     }
 
+    /// Predicted time until `need` fits, in ms, if it ever does.
+    pub(crate) fn room_in_ms(&self, need: &ResourceRoom, now: ClockTime) -> Option<u64> {
+        let mut free = self.free_room();
+        let mut ends: Vec<(u64, &ResourceRoom)> = self
+            .runs
+            .values()
+            .map(|it| (it.ordered_at.plus_ms(it.predicted_ms).since_ms(now), &it.need))
+            .collect();
+        ends.sort_unstable_by_key(|(left_ms, _)| *left_ms);
+        ends.into_iter().find_map(|(left_ms, taken)| {
+            free = free.plus(taken);
+            free.fits(need).then_some(left_ms)
+        })
+    }
+
     /// Whether it may be given a start.
     pub(crate) fn takes_starts(&self, now: ClockTime) -> bool {
         self.claimed
