lib: work whose answer would be useless is refused; overdue runs are looked at

Change: a job that has not started is refused, with the time of the queue as Retry-After, once it cannot end within three objectives. Looks return when a run is overdue.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -64,10 +64,15 @@
 const KEPT_VERDICT_MS: u64 = 20_000;
 /// Step by which a run's number grows past one that an endpoint calls old.
 const OLD_RUN_STEP: u32 = 64;
-/// A run counts as stalled when it takes this many times as long as predicted.
-const STALL_FACTOR: u64 = 3;
+/// A run counts as stalled when it takes this many thousandths of its predicted time:
+/// declared times are off by less.
+const STALL_MILLI: u64 = 3_000;
 /// Time added before a run counts as stalled, in ms: the spread of short runs.
 const STALL_SLACK_MS: u64 = 150;
+/// Shortest wait of a look that is to see how far a run is, in ms.
+const SHORT_LOOK_MS: u64 = 30;
+/// Latency objectives after which an answer is of no use to its caller.
+const USELESS_OBJECTIVES: u64 = 3;
 /// Jobs that a leader keeps waiting at most; beyond it, memory would grow with a burst.
 const MAX_JOBS: usize = 4_096;
 /// Shortest and longest time after which a refused caller is asked to return, in ms.
@@ -116,6 +121,8 @@
     due_at: ClockTime,
     /// Time until which its caller waits.
     waits_until: ClockTime,
+    /// Time until which an answer is of use.
+    useful_until: ClockTime,
     /// When its entry last said that the caller waits.
     wanted_at: ClockTime,
     tasks: Vec<CellTask>,
@@ -320,7 +327,7 @@
         let wait_ms = if is_claim || is_urgent || is_idle || 0 < endpoint.n_silent {
             0
         } else {
-            LOOK_WAIT_MS
+            endpoint.overdue_in_ms(STALL_SLACK_MS, now).clamp(SHORT_LOOK_MS, LOOK_WAIT_MS)
         };
         // An endpoint that does not answer must be left to let its runs lapse.
         let renews = !is_claim && !is_idle && endpoint.n_silent == 0 && !self.is_fenced;
@@ -399,6 +406,7 @@
             arrived_at: now,
             due_at: now.minus_ms(offer.age_ms).plus_ms(objective_ms),
             waits_until: now.plus_ms(offer.remaining_ms),
+            useful_until: now.minus_ms(offer.age_ms).plus_ms(objective_ms * USELESS_OBJECTIVES),
             wanted_at: now,
             n_left: tasks.len(),
             tasks,
@@ -463,7 +471,7 @@
             return Some((RefusalCause::QueueFull, wait_ms));
         }
         let chain_ms = self.ratios.usual_ms(&job.offer.route, job.offer.declared_chain_ms());
-        let is_hopeless = job.waits_until < now.plus_ms(wait_ms + chain_ms);
+        let is_hopeless = job.waits_until.min(job.useful_until) < now.plus_ms(wait_ms + chain_ms);
         is_hopeless.then_some((RefusalCause::Hopeless, wait_ms))
     }
 
@@ -1040,9 +1048,9 @@
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let Some(run) = endpoint.runs.get(&listed.task) else { return };
         let worked_ms = now.since_ms(run.since);
-        let limit_ms = STALL_FACTOR * run.predicted_ms + STALL_SLACK_MS;
+        let limit_ms = STALL_MILLI * run.predicted_ms / 1000 + STALL_SLACK_MS;
         let total_ms = worked_ms * 100 / listed.percent.max(1);
-        if worked_ms < limit_ms.min(run.predicted_ms + STALL_SLACK_MS) || total_ms < limit_ms {
+        if worked_ms < run.predicted_ms + STALL_SLACK_MS || total_ms < limit_ms {
             return;
         }
         let factor_milli = endpoint.pace.factor_milli(now);
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -156,6 +156,17 @@
         })
     }
 
+    /// Time until a run has taken longer than predicted by `slack_ms`, in ms; again and again
+    /// for one that has, ever more rarely.
+    pub(crate) fn overdue_in_ms(&self, slack_ms: u64, now: ClockTime) -> u64 {
+        let overdue = self.runs.values().filter(|it| it.phase != RunPhase::Orphan).map(|it| {
+            let worked_ms = now.since_ms(it.ordered_at);
+            let limit_ms = it.predicted_ms + slack_ms;
+            if worked_ms < limit_ms { limit_ms - worked_ms } else { worked_ms / 2 }
+        });
+        overdue.min().unwrap_or(u64::MAX)
+    }
+
     /// Whether it may be given a start.
     pub(crate) fn takes_starts(&self, now: ClockTime) -> bool {
         self.claimed
