--- /dev/null
+++ b/adapters/src/cell_metrics.rs
@@ -0,0 +1,136 @@
+//! Metrics of cells, in the OpenMetrics text form.
+//!
+//! They are counted from the notes on decisions. Events and outcomes of jobs are closed
+//! lists; routes come from the configuration, and past a bound they share one label.
+
+use indexmap::IndexSet;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use yuccamux::cell::decision_note::{DecisionNote, NoteEvent};
+
+/// Bounds of the time histograms, in seconds: from a short task to a caller's patience.
+const TIME_BOUNDS: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
+/// Routes with a label of their own.
+const MAX_ROUTES: usize = 64;
+/// Label of the routes beyond.
+const OTHER_ROUTES: &str = "other";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EventLabels {
+    event: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    route: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteLabels {
+    route: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NameLabels {
+    name: &'static str,
+}
+
+/// Figures of the moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CellFigures {
+    /// Jobs whose callers wait at this entry.
+    pub n_waiting: usize,
+    /// Jobs in cells that this entry leads.
+    pub n_led_jobs: usize,
+    /// Cells that this entry leads.
+    pub n_led: usize,
+    /// Endpoints whose life goes on.
+    pub n_endpoints: usize,
+    /// Version of the routes in force.
+    pub plan_version: u64,
+    /// Log lines left out.
+    pub n_left_out: u64,
+}
+
+/// The metrics of an entry's cells.
+pub struct CellMetrics {
+    registry: Registry,
+    events: Family<EventLabels, Counter>,
+    jobs: Family<OutcomeLabels, Counter>,
+    job_time: Family<RouteLabels, Histogram>,
+    figures: Family<NameLabels, Gauge>,
+    routes: IndexSet<String>,
+}
+
+impl CellMetrics {
+    /// Nothing counted yet.
+    pub fn new() -> CellMetrics {
+        let mut registry = Registry::with_prefix("yuccamux_cell");
+        let events = Family::<EventLabels, Counter>::default();
+        let jobs = Family::<OutcomeLabels, Counter>::default();
+        let job_time =
+            Family::<RouteLabels, Histogram>::new_with_constructor(|| Histogram::new(TIME_BOUNDS));
+        let figures = Family::<NameLabels, Gauge>::default();
+        registry.register("decisions", "Decisions and changes of belief", events.clone());
+        registry.register("jobs", "Jobs answered to callers", jobs.clone());
+        registry.register(
+            "job_seconds",
+            "Time from a job's request to its answer",
+            job_time.clone(),
+        );
+        registry.register("figures", "Figures of the moment", figures.clone());
+        CellMetrics { registry, events, jobs, job_time, figures, routes: IndexSet::new() }
+    }
+
+    /// Counts a note.
+    pub fn take(&mut self, note: &DecisionNote) {
+        self.events.get_or_create(&EventLabels { event: note.event.name() }).inc();
+        if note.event != NoteEvent::JobAnswered {
+            return;
+        }
+        let route = self.route_label(&note.subject);
+        let outcome = note.outcome.clone();
+        self.jobs.get_or_create(&OutcomeLabels { route: route.clone(), outcome }).inc();
+        if let Some((_, age_ms)) = note.inputs.iter().find(|(name, _)| name == "age_ms") {
+            let seconds = *age_ms as f64 / 1000.0;
+            self.job_time.get_or_create(&RouteLabels { route }).observe(seconds);
+        }
+    }
+
+    fn route_label(&mut self, route: &str) -> String {
+        if self.routes.contains(route) || self.routes.len() < MAX_ROUTES {
+            self.routes.insert(route.to_owned());
+            return route.to_owned();
+        }
+        OTHER_ROUTES.to_owned()
+    }
+
+    /// The metrics as text.
+    pub fn encode(&self, figures: CellFigures) -> String {
+        let rows = [
+            ("jobs_waiting", figures.n_waiting as i64),
+            ("jobs_led", figures.n_led_jobs as i64),
+            ("cells_led", figures.n_led as i64),
+            ("endpoints", figures.n_endpoints as i64),
+            ("plan_version", figures.plan_version as i64),
+            ("log_lines_left_out", figures.n_left_out as i64),
+        ];
+        for (name, figure) in rows {
+            self.figures.get_or_create(&NameLabels { name }).set(figure);
+        }
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = text::encode(&mut text, &self.registry);
+        text
+    }
+}
+
+impl Default for CellMetrics {
+    fn default() -> CellMetrics {
+        CellMetrics::new()
+    }
+}
--- a/adapters/src/cell_service.rs
+++ b/adapters/src/cell_service.rs
@@ -21,6 +21,7 @@
 };
 
 use crate::{
+    cell_metrics::{CellFigures, CellMetrics},
     decision_log::DecisionLog,
     link_key::LinkKeys,
     peer_link::{AddressBook, LinkSockets, PeerInput, PeerLink},
@@ -46,6 +47,7 @@
     Pending(String, oneshot::Sender<u64>),
     Outcome(EndpointOrder, OrderOutcome),
     Controls(Vec<VmName>),
+    Metrics(oneshot::Sender<String>),
     Stop,
 }
 
@@ -115,6 +117,13 @@
         answer.await.unwrap_or(0)
     }
 
+    /// The metrics as text.
+    pub async fn metrics(&self) -> String {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inbox.send(CellInput::Metrics(reply));
+        answer.await.unwrap_or_default()
+    }
+
     /// Names further control VMs.
     pub fn add_controls(&self, vms: Vec<VmName>) {
         let _ = self.inbox.send(CellInput::Controls(vms));
@@ -151,6 +160,7 @@
         clock,
         send,
         log: DecisionLog::start(process)?,
+        metrics: CellMetrics::new(),
         calls: IndexMap::new(),
         outcomes: inbox.clone(),
         view: view_sender,
@@ -165,6 +175,7 @@
     clock: WallClock,
     send: SendFunction,
     log: DecisionLog,
+    metrics: CellMetrics,
     calls: IndexMap<CallNumber, oneshot::Sender<JobVerdict>>,
     outcomes: mpsc::UnboundedSender<CellInput>,
     view: watch::Sender<CellView>,
@@ -225,6 +236,18 @@
             }
             CellInput::Outcome(order, outcome) => self.node.take_outcome(&order, outcome, now),
             CellInput::Controls(vms) => self.node.add_controls(vms),
+            CellInput::Metrics(reply) => {
+                let figures = CellFigures {
+                    n_waiting: self.node.n_waiting(),
+                    n_led_jobs: self.node.n_led_jobs(),
+                    n_led: self.node.n_led(),
+                    n_endpoints: self.node.n_endpoints(),
+                    plan_version: self.node.plan().map_or(0, |it| it.version),
+                    n_left_out: self.log.n_left_out(),
+                };
+                // The caller may have hung up.
+                let _ = reply.send(self.metrics.encode(figures));
+            }
             CellInput::Stop => self.node.stop(now),
         }
     }
@@ -264,7 +287,10 @@
                         let _ = reply.send(verdict);
                     }
                 }
-                NodeEffect::Note(note) => self.log.take(note),
+                NodeEffect::Note(note) => {
+                    self.metrics.take(&note);
+                    self.log.take(note);
+                }
             }
         }
         self.show();
--- a/adapters/src/control_http.rs
+++ b/adapters/src/control_http.rs
@@ -9,7 +9,7 @@
 use crate::{
     bearer_guard::BearerGuard,
     border_types::{ChangeAnswer, ChangeBody},
-    control_service::ServiceHandle,
+    control_service::{ServiceHandle, ServiceStatus},
     http_server::{
         CloseConnection, HttpAnswer, HttpRequest, ServerLimits, error_answer, read_body,
         text_answer, value_answer,
@@ -69,22 +69,7 @@
     }
 
     async fn metrics(&self) -> HttpAnswer {
-        let status = self.service.status().await;
-        let lines = [
-            ("yuccamux_control_config_version", status.config_version),
-            ("yuccamux_control_term", status.term),
-            ("yuccamux_control_commit", status.commit),
-            ("yuccamux_control_syncs", status.n_syncs),
-            ("yuccamux_control_messages_sent", status.sent.0),
-            ("yuccamux_control_bytes_sent", status.sent.1),
-            ("yuccamux_control_voters", status.voters.len() as u64),
-        ];
-        let mut text = String::new();
-        for (name, value) in lines {
-            text.push_str(&format!("# TYPE {name} gauge\n{name} {value}\n"));
-        }
-        text.push_str("# EOF\n");
-        text_answer(StatusCode::OK, text)
+        metrics_answer(&self.service.status().await)
     }
 
     async fn change(&self, request: HttpRequest) -> Result<HttpAnswer, RequestError> {
@@ -97,6 +82,26 @@
     }
 }
 
+/// The metrics of a control VM, in the OpenMetrics text form.
+pub fn metrics_answer(status: &ServiceStatus) -> HttpAnswer {
+    let lines = [
+        ("yuccamux_control_config_version", status.config_version),
+        ("yuccamux_control_plan_version", status.plan_version),
+        ("yuccamux_control_term", status.term),
+        ("yuccamux_control_commit", status.commit),
+        ("yuccamux_control_syncs", status.n_syncs),
+        ("yuccamux_control_messages_sent", status.sent.0),
+        ("yuccamux_control_bytes_sent", status.sent.1),
+        ("yuccamux_control_voters", status.voters.len() as u64),
+    ];
+    let mut text = String::new();
+    for (name, value) in lines {
+        text.push_str(&format!("# TYPE {name} gauge\n{name} {value}\n"));
+    }
+    text.push_str("# EOF\n");
+    text_answer(StatusCode::OK, text)
+}
+
 /// The change in a body.
 ///
 /// # Errors
--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -72,6 +72,8 @@
     pub reachable: Vec<String>,
     /// Configuration version applied here.
     pub config_version: u64,
+    /// Version of the routes applied here.
+    pub plan_version: u64,
     /// Syncs of the disk.
     pub n_syncs: u64,
     /// Messages sent to other VMs, and their bytes.
@@ -362,6 +364,7 @@
             voters: node.voters().iter().map(ToString::to_string).collect(),
             reachable: node.reachable_vms(now).iter().map(ToString::to_string).collect(),
             config_version: self.node.state().image().version,
+            plan_version: self.node.state().plan().map_or(0, |it| it.plan.version),
             n_syncs: self.store.n_syncs(),
             sent: self.link.sent(),
             peers: peers.collect(),
--- a/adapters/src/decision_log.rs
+++ b/adapters/src/decision_log.rs
@@ -91,14 +91,17 @@
         };
         let is_end = matches!(
             note.event,
-            NoteEvent::JobEnded | NoteEvent::JobRefused | NoteEvent::JobWithdrawn
+            NoteEvent::JobEnded
+                | NoteEvent::JobRefused
+                | NoteEvent::JobAnswered
+                | NoteEvent::JobWithdrawn
         );
         if !is_end {
             self.keep(job, note);
             return;
         }
-        let is_plain = note.event == NoteEvent::JobEnded
-            && note.outcome.eq_ignore_ascii_case("completed")
+        let is_plain = matches!(note.event, NoteEvent::JobEnded | NoteEvent::JobAnswered)
+            && note.outcome == "completed"
             && note.inputs.iter().all(|(name, figure)| name != "late_ms" || *figure == 0);
         self.n_ended += 1;
         let trail = self.trails.swap_remove(&job).unwrap_or_default();
--- a/adapters/src/lib.rs
+++ b/adapters/src/lib.rs
@@ -10,6 +10,7 @@
 #[expect(clippy::all, reason = "generated code")]
 #[rustfmt::skip]
 pub mod border_types;
+pub mod cell_metrics;
 pub mod cell_service;
 pub mod connection_pool;
 pub mod control_http;
--- a/adapters/src/log_lines.rs
+++ b/adapters/src/log_lines.rs
@@ -1,4 +1,4 @@
-//! Logs by log4rs: to standard error, as text or JSON, one line for a change of state.
+//! Logs by log4rs, as text or JSON, one line for a change of state.
 
 use log::LevelFilter;
 use log4rs::{
@@ -35,16 +35,29 @@
 ///
 /// When logging was started before.
 pub fn start(form: LogForm) -> anyhow::Result<()> {
+    start_on(form, Target::Stderr)
+}
+
+/// Starts logging to standard output.
+///
+/// # Errors
+///
+/// When logging was started before.
+pub fn start_on_output(form: LogForm) -> anyhow::Result<()> {
+    start_on(form, Target::Stdout)
+}
+
+fn start_on(form: LogForm, target: Target) -> anyhow::Result<()> {
     let encoder: Box<dyn Encode> = match form {
         LogForm::Text => {
             Box::new(PatternEncoder::new("{d(%Y-%m-%dT%H:%M:%S%.3f)(utc)} {l} {m}{n}"))
         }
         LogForm::Json => Box::new(JsonEncoder::new()),
     };
-    let appender = ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build();
+    let appender = ConsoleAppender::builder().target(target).encoder(encoder).build();
     let config = Config::builder()
-        .appender(Appender::builder().build("stderr", Box::new(appender)))
-        .build(Root::builder().appender("stderr").build(LevelFilter::Info))?;
+        .appender(Appender::builder().build("console", Box::new(appender)))
+        .build(Root::builder().appender("console").build(LevelFilter::Info))?;
     log4rs::init_config(config)?;
     Ok(())
 }
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -434,14 +434,15 @@
 
     fn answer(&mut self, code: JobCode, verdict: JobVerdict, now: ClockTime) {
         let Some(job) = self.router.jobs.swap_remove(&code) else { return };
-        let subject = job.cell.as_ref().map_or_else(|| "none".to_owned(), ToString::to_string);
-        let (event, outcome) = match &verdict {
-            JobVerdict::Refused(cause, _) => (NoteEvent::JobRefused, format!("{cause:?}")),
-            it => (NoteEvent::JobEnded, format!("{it:?}")),
+        let outcome = match &verdict {
+            JobVerdict::Refused(cause, _) => format!("refused: {cause:?}"),
+            it => format!("{it:?}").to_lowercase(),
         };
-        let note = DecisionNote::new(now, event, subject, outcome)
+        let route = job.offer.route.as_str();
+        let note = DecisionNote::new(now, NoteEvent::JobAnswered, route, outcome)
             .about(code)
             .with("age_ms", now.since_ms(job.read_at))
+            .with("remaining_ms", job.waits_until.since_ms(now))
             .with("refusals", job.refused_by.len() as u64);
         self.note(note);
         self.effects.push(NodeEffect::Answer(job.call, verdict));
--- a/lib/src/cell/decision_note.rs
+++ b/lib/src/cell/decision_note.rs
@@ -41,6 +41,8 @@
     RunAdopted = "run_adopted",
     /// A job ended and was answered.
     JobEnded = "job_ended",
+    /// A job's caller got its answer.
+    JobAnswered = "job_answered",
     /// The caller of a job has left.
     JobWithdrawn = "job_withdrawn",
     /// A task was ordered.
