--- a/adapters/tests/test_reference.rs
+++ b/adapters/tests/test_reference.rs
@@ -1,6 +1,9 @@
 //! The tables of the reference pages are made from the code.
 
-use yuccamux::{job_dispatcher::JobDispatcher, policy_settings::PolicySettings, prelude::*};
+use yuccamux::{
+    cell::decision_note::NoteEvent, job_dispatcher::JobDispatcher, policy_settings::PolicySettings,
+    prelude::*,
+};
 use yuccamux_adapters::{
     entry_control::ControlStatus,
     entry_metrics::{DispatcherView, EntryMetrics},
@@ -46,3 +49,12 @@
     }
     check_table("metrics.md", &table);
 }
+
+#[test]
+fn event_table_matches_code() {
+    let mut table = "Events:\n\n".to_owned();
+    for event in NoteEvent::ALL {
+        table.push_str(&format!("- `{}`: {}\n", event.name(), event.meaning()));
+    }
+    check_table("logs.md", &table);
+}
--- a/lib/src/cell/decision_note.rs
+++ b/lib/src/cell/decision_note.rs
@@ -7,11 +7,11 @@
 
 /// Declares the events with their names in log lines.
 macro_rules! note_events {
-    ($($(#[$doc:meta])* $event:ident = $name:literal,)*) => {
+    ($(#[doc = $doc:literal] $event:ident = $name:literal,)*) => {
         /// Every event that a note can tell of.
         #[derive(Data!, Copy, Hash)]
         pub enum NoteEvent {
-            $($(#[$doc])* $event,)*
+            $(#[doc = $doc] $event,)*
         }
 
         impl NoteEvent {
@@ -24,6 +24,13 @@
                     $(NoteEvent::$event => $name,)*
                 }
             }
+
+            /// What it tells, for the reference page.
+            pub fn meaning(self) -> &'static str {
+                match self {
+                    $(NoteEvent::$event => $doc.trim_ascii(),)*
+                }
+            }
         }
     };
 }
--- a/testutils/tests/test_cell_world.rs
+++ b/testutils/tests/test_cell_world.rs
@@ -26,3 +26,33 @@
         check(seed, &CellPlan::default());
     }
 }
+
+/// Seeds that ever failed, with the fault count that they failed at.
+#[test]
+fn seeds_that_failed() {
+    let failed: [(u64, usize); 14] = [
+        // Requests and offers that waited for an entry that stood still.
+        (4, 8),
+        (6, 8),
+        (10, 8),
+        (16, 8),
+        // A withdrawal that was lost on the way to the leader.
+        (133, 8),
+        // A leader that went on after an endpoint had fenced it.
+        (280, 8),
+        (298, 8),
+        // A start that reached the next life of its endpoint.
+        (27, 8),
+        // Runs of a former leader that were kept alive beyond the caller's second copy.
+        (1790, 12),
+        (2061, 12),
+        // An adopted run whose former lease was not known.
+        (10125, 12),
+        (10447, 12),
+        (10483, 12),
+        (11069, 12),
+    ];
+    for (seed, n_faults) in failed {
+        check(seed, &CellPlan { n_faults, ..CellPlan::default() });
+    }
+}
