--- /dev/null
+++ b/lib/src/cell/dispatch_starts.rs
@@ -0,0 +1,180 @@
+//! Placement passes, starts, and tasks that go back into the queue on proof.
+
+use indexmap::IndexMap;
+
+use crate::{
+    cell::{
+        cell_dispatcher::{CellDispatcher, CellEffect, LEASE_MS, ORDER_TIME_MS, TaskPhase},
+        cell_placement::{self, PlacementAsk, PlacementChoice},
+        decision_note::{DecisionNote, NoteEvent},
+        endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
+        endpoint_state::{EndpointRun, RunPhase},
+        job_offer::{JobCode, TaskRef},
+    },
+    prelude::*,
+};
+
+/// Time for which a job that a former leader had waits while some endpoint has not listed
+/// its runs, in ms. That leader has returned the job or counts its entry as gone, so it
+/// stops the job's runs or renews no lease for them.
+const CLAIM_MS: u64 = LEASE_MS + 350;
+
+impl CellDispatcher {
+    /// Places what can be placed, if anything has changed.
+    pub(super) fn pass(&mut self, now: ClockTime) {
+        if self.is_fenced || !std::mem::take(&mut self.wants_pass) {
+            return;
+        }
+        let are_known = self.former_runs_are_known();
+        let mut order: Vec<((bool, ClockTime), JobCode)> = self
+            .jobs
+            .iter()
+            .filter(|(_, it)| {
+                let is_over = CLAIM_MS <= now.since_ms(it.arrived_at);
+                it.waits() && (are_known || is_over || !it.offer.is_repeat)
+            })
+            .map(|(code, it)| (self.rank(it, now), *code))
+            .collect();
+        if order.is_empty() || !self.endpoints.values().any(|it| it.takes_starts(now)) {
+            return;
+        }
+        order.sort_unstable();
+        let mut promised = IndexMap::new();
+        for (_, code) in order {
+            self.place_job(code, &mut promised, now);
+        }
+    }
+
+    /// Whether every endpoint that a former leader may have used has listed its runs.
+    pub(super) fn former_runs_are_known(&self) -> bool {
+        self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed)
+    }
+
+    pub(super) fn place_job(
+        &mut self,
+        code: JobCode,
+        promised: &mut IndexMap<EndpointName, u32>,
+        now: ClockTime,
+    ) {
+        let Some(job) = self.jobs.get(&code) else { return };
+        let mut placed = Vec::new();
+        for (idx, task) in job.tasks.iter().enumerate() {
+            if task.phase == TaskPhase::Waiting && job.step_is_ready(task.task.step) {
+                placed.push(idx);
+            }
+        }
+        for idx in placed {
+            let Some(job) = self.jobs.get(&code) else { return };
+            let task = &job.tasks[idx];
+            let step = &job.offer.steps[task.task.step as usize];
+            let mut usual_ms = self.ratios.usual_ms(&job.offer.route, step.declared_ms);
+            if step.data_rack.as_ref().is_some_and(|it| *it != self.cell.rack) {
+                usual_ms *= 2;
+            }
+            // A lone endpoint is all that there is, also after a failure.
+            let avoid = task.avoid.as_ref().filter(|_| 1 < self.endpoints.len());
+            let due_at = job.due_at;
+            let ask = PlacementAsk { task: task.task, step, usual_ms, due_at, avoid };
+            match cell_placement::choose_endpoint(&ask, &self.endpoints, promised, now) {
+                PlacementChoice::Start(name, predicted_ms) => {
+                    self.start_task(code, idx, &name, predicted_ms, now);
+                }
+                PlacementChoice::Wait(name) => *promised.entry(name).or_default() += 1,
+                PlacementChoice::Nowhere => return,
+            }
+        }
+    }
+
+    pub(super) fn start_task(
+        &mut self,
+        code: JobCode,
+        idx: usize,
+        name: &EndpointName,
+        predicted_ms: u64,
+        now: ClockTime,
+    ) {
+        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        let Some(job) = self.jobs.get_mut(&code) else { return };
+        check_invariant(Invariant::EndpointAcceptsWork, !endpoint.record.leaving);
+        let lease_until = endpoint.extend_lease(LEASE_MS, now);
+        let task = &mut job.tasks[idx];
+        check_invariant(Invariant::TaskStartsOnce, task.phase == TaskPhase::Waiting);
+        task.last_run += 1;
+        task.phase = TaskPhase::Placed(name.clone());
+        job.may_have_run = true;
+        let need = job.offer.steps[task.task.step as usize].need;
+        let run = EndpointRun {
+            run: task.last_run,
+            need,
+            phase: RunPhase::Ordered,
+            since: now,
+            ordered_at: now,
+            predicted_ms,
+            sent_at: now,
+        };
+        let free = endpoint.free_room();
+        endpoint.runs.insert(task.task, run);
+        self.next_order += 1;
+        let order = EndpointOrder {
+            number: OrderNumber(self.next_order),
+            endpoint: name.clone(),
+            address: endpoint.record.address.clone(),
+            token: self.token,
+            lease_until,
+            time_limit_ms: ORDER_TIME_MS,
+            body: OrderBody::Start {
+                task: task.task,
+                run: task.last_run,
+                spec: job.offer.spec.clone(),
+            },
+        };
+        let note = DecisionNote::new(now, NoteEvent::TaskPlaced, name.as_str(), "ordered")
+            .about(code)
+            .with("step", u64::from(task.task.step))
+            .with("idx", u64::from(task.task.idx))
+            .with("run", u64::from(task.last_run))
+            .with("predicted_ms", predicted_ms)
+            .with("free_cpu", free.cpu)
+            .with("age_ms", now.since_ms(job.arrived_at) + job.offer.age_ms);
+        self.effects.push(CellEffect::Order(order));
+        self.note(note);
+    }
+
+    /// Puts a task back into the queue, on proof that its run is over or never was.
+    pub(super) fn requeue(
+        &mut self,
+        task: TaskRef,
+        run: u32,
+        name: &EndpointName,
+        proof: &str,
+        now: ClockTime,
+    ) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(known) = job.tasks.iter_mut().find(|it| it.task == task) else { return };
+        if known.phase != TaskPhase::Placed(name.clone()) {
+            return;
+        }
+        known.phase = TaskPhase::Waiting;
+        let note = DecisionNote::new(now, NoteEvent::TaskRequeued, name.as_str(), proof)
+            .about(task.job)
+            .with("idx", u64::from(task.idx))
+            .with("run", u64::from(run));
+        self.note(note);
+        self.wants_pass = true;
+    }
+
+    /// Removes a run from its endpoint.
+    pub(super) fn remove_run(
+        &mut self,
+        name: &EndpointName,
+        task: TaskRef,
+        run: u32,
+    ) -> Option<EndpointRun> {
+        let endpoint = self.endpoints.get_mut(name)?;
+        if endpoint.runs.get(&task)?.run != run {
+            return None;
+        }
+        self.wants_pass = true;
+        endpoint.runs.swap_remove(&task)
+    }
+}
--- /dev/null
+++ b/lib/src/cell/node_callers.rs
@@ -0,0 +1,208 @@
+//! An entry's callers: jobs that are read, offered, answered and taken back.
+
+use crate::{
+    cell::{
+        cell_message::{CellMessage, CellName},
+        cell_node::{CellNode, NodeEffect},
+        decision_note::{DecisionNote, NoteEvent},
+        job_offer::{JobCode, JobOffer, JobVerdict, RefusalCause},
+        job_router::{self, FrontJob},
+    },
+    entry_node::CallNumber,
+    prelude::*,
+};
+
+/// Run numbers of a task that each leader has for itself.
+const LEADER_RUNS: u32 = 32;
+
+impl CellNode {
+    /// Takes a caller's job; its answer comes as an effect.
+    pub fn submit(&mut self, call: CallNumber, offer: JobOffer, now: ClockTime) {
+        self.wake(now);
+        let code = offer.job;
+        if let Some(known) = self.router.jobs.get_mut(&code) {
+            // The caller has given up on its former call, which gets the same answer.
+            let former = std::mem::replace(&mut known.call, call);
+            self.effects.push(NodeEffect::Answer(former, JobVerdict::Unknown));
+            let note = DecisionNote::new(now, NoteEvent::JobAttached, "caller", "at work");
+            self.note(note.about(code));
+            return;
+        }
+        let note = DecisionNote::new(now, NoteEvent::JobAccepted, offer.route.as_str(), "read")
+            .about(code)
+            .with("remaining_ms", offer.remaining_ms)
+            .with("declared_ms", offer.declared_chain_ms())
+            .with("tasks", offer.steps.iter().map(|it| u64::from(it.count)).sum())
+            .with("plan_version", self.plan.as_ref().map_or(0, |it| it.version));
+        self.note(note);
+        let job = FrontJob {
+            call,
+            read_at: now,
+            waits_until: now.plus_ms(offer.remaining_ms),
+            cell: None,
+            leader: None,
+            offered_at: now,
+            adrift_since: now,
+            was_offered: false,
+            refused_by: Vec::new(),
+            offer,
+        };
+        self.router.jobs.insert(code, job);
+        self.route(code, now);
+    }
+
+    /// The caller of a job has left.
+    pub fn withdraw(&mut self, call: CallNumber, now: ClockTime) {
+        let Some(code) = self.router.job_of(call) else { return };
+        self.withdraw_job(code, now);
+    }
+
+    /// Cancels a job; whether it was at work for a caller of this entry.
+    pub fn cancel(&mut self, code: JobCode, now: ClockTime) -> bool {
+        let Some(job) = self.router.jobs.get(&code) else { return false };
+        let call = job.call;
+        self.withdraw_job(code, now);
+        self.effects.push(NodeEffect::Answer(call, JobVerdict::Failed));
+        true
+    }
+
+    pub(super) fn withdraw_job(&mut self, code: JobCode, now: ClockTime) {
+        let Some(job) = self.router.jobs.swap_remove(&code) else { return };
+        let note = DecisionNote::new(now, NoteEvent::JobWithdrawn, "caller", "left");
+        self.note(note.about(code).with("age_ms", now.since_ms(job.read_at)));
+        let Some(leader) = job.leader else { return };
+        if leader == self.settings.owner.vm {
+            if let Some(led) = job.cell.and_then(|it| self.led.get_mut(&it)) {
+                led.dispatcher.withdraw(code, now);
+            }
+            self.carry_out(now);
+        } else {
+            self.send(&leader, CellMessage::Withdraw(code));
+        }
+    }
+
+    /// Offers a job that has no leader, if one can be found.
+    pub(super) fn route(&mut self, code: JobCode, now: ClockTime) {
+        if now < self.resumes_at {
+            return;
+        }
+        let Some(job) = self.router.jobs.get_mut(&code) else { return };
+        if job.cell.is_none() {
+            job.cell = job_router::choose_cell(job, &self.settings.centre, &self.views, now);
+        }
+        let Some(cell) = job.cell.clone() else { return };
+        let Some(view) = self.views.get_mut(&cell) else { return };
+        let leader = view.leader.clone();
+        view.offered_cpu += job.offer.first_cpu();
+        view.offered_work += job.offer.declared_work();
+        if job.was_offered {
+            job.offer.first_run += LEADER_RUNS;
+        }
+        self.n_offers += 1;
+        job.offer.number = self.n_offers;
+        let offer = job.current_offer(now);
+        job.leader = Some(leader.clone());
+        job.offered_at = now;
+        job.was_offered = true;
+        let note = DecisionNote::new(now, NoteEvent::JobOffered, cell.to_string(), leader.as_str())
+            .about(code)
+            .with("free_cpu", view.report.free_cpu)
+            .with("queued_work", view.report.queued_work)
+            .with("report_age_ms", now.since_ms(view.reported_at));
+        self.note(note);
+        self.offer(&cell, &leader, offer, now);
+    }
+
+    pub(super) fn offer(
+        &mut self,
+        cell: &CellName,
+        leader: &VmName,
+        offer: JobOffer,
+        now: ClockTime,
+    ) {
+        if *leader != self.settings.owner.vm {
+            self.send(leader, CellMessage::Offer(cell.clone(), offer, now));
+            return;
+        }
+        let own = self.settings.owner.vm.clone();
+        match self.led.get_mut(cell) {
+            Some(led) => led.dispatcher.offer(&own, offer, now),
+            None => {
+                let number = offer.number;
+                self.take_verdict(&own, cell, offer.job, number, JobVerdict::NotLeader, now);
+            }
+        }
+        self.carry_out(now);
+    }
+
+    pub(super) fn take_verdict(
+        &mut self,
+        from: &VmName,
+        cell: &CellName,
+        code: JobCode,
+        number: u64,
+        verdict: JobVerdict,
+        now: ClockTime,
+    ) {
+        let Some(job) = self.router.jobs.get_mut(&code) else { return };
+        let is_former = number < job.offer.number
+            && matches!(verdict, JobVerdict::Refused(..) | JobVerdict::NotLeader);
+        if job.cell.as_ref() != Some(cell) || is_former {
+            return;
+        }
+        match verdict {
+            JobVerdict::NotLeader => {
+                if job.leader.as_ref() == Some(from) {
+                    job.leader = None;
+                    job.adrift_since = now;
+                }
+                return;
+            }
+            JobVerdict::Refused(cause, _) if job.leader.as_ref() == Some(from) => {
+                job.was_offered = false;
+                job.refused_by.push(cell.clone());
+                let may_fit_elsewhere = cause != RefusalCause::NeverFits;
+                if may_fit_elsewhere && job.refused_by.len() <= 1 && self.reroute(code, now) {
+                    return;
+                }
+            }
+            JobVerdict::Completed | JobVerdict::Failed => {}
+            JobVerdict::Refused(..) | JobVerdict::Unknown => return,
+        }
+        self.answer(code, verdict, now);
+    }
+
+    /// Offers a refused job to another cell that has room at once; whether it did.
+    pub(super) fn reroute(&mut self, code: JobCode, now: ClockTime) -> bool {
+        let Some(job) = self.router.jobs.get_mut(&code) else { return false };
+        let centre = &self.settings.centre;
+        let Some(cell) = job_router::choose_cell(job, centre, &self.views, now) else {
+            return false;
+        };
+        let Some(view) = self.views.get(&cell) else { return false };
+        let free = view.report.free_cpu.saturating_sub(view.offered_cpu);
+        if free < job.offer.first_cpu() || 0 < view.report.queued_work {
+            return false;
+        }
+        job.cell = Some(cell);
+        job.leader = None;
+        self.route(code, now);
+        true
+    }
+
+    pub(super) fn answer(&mut self, code: JobCode, verdict: JobVerdict, now: ClockTime) {
+        let Some(job) = self.router.jobs.swap_remove(&code) else { return };
+        let outcome = match &verdict {
+            JobVerdict::Refused(cause, _) => format!("refused: {cause:?}"),
+            it => format!("{it:?}").to_lowercase(),
+        };
+        let route = job.offer.route.as_str();
+        let note = DecisionNote::new(now, NoteEvent::JobAnswered, route, outcome)
+            .about(code)
+            .with("age_ms", now.since_ms(job.read_at))
+            .with("remaining_ms", job.waits_until.since_ms(now))
+            .with("refusals", job.refused_by.len() as u64);
+        self.note(note);
+        self.effects.push(NodeEffect::Answer(job.call, verdict));
+    }
+}
