--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -31,8 +31,9 @@
     vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
 };
 
-/// Entries after which the log is compacted.
-const COMPACT_ENTRIES: usize = 256;
+/// Entries after which the log is compacted: a replica that lost its disk gets the state
+/// and at most these, each as large as all routes.
+const COMPACT_ENTRIES: usize = 32;
 /// Time between heartbeats to other VMs, in ms.
 const HEARTBEAT_MS: u64 = 500;
 /// Time between two changes of the group, in ms: the newcomer catches up meanwhile.
