--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -21,7 +21,7 @@
         self.wake(now);
         let code = offer.job;
         if let Some(known) = self.router.jobs.get_mut(&code) {
-            // The caller has given up on its former call, which gets the same answer.
+            // The caller has given up on its former call; the answer goes to the new one.
             let former = std::mem::replace(&mut known.call, call);
             self.effects.push(NodeEffect::Answer(former, JobVerdict::Unknown));
             let note = DecisionNote::new(now, NoteEvent::JobAttached, "caller", "at work");
