lib: the control group is stored before the first vote; a replica without a group never leads

Founders came from the settings of the first start only; set_vms did not store them when they equalled those in memory, so a restarted replica had a group of no VMs, whose majority was itself.

Ruled out: the state machine (it keeps the first content of a version) and votes on stale logs (no vote was needed).

Change: the group is stored with the first hard state, an unknown group has no quorum, and a replica that lacks it learns it from beats.

--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -181,6 +181,13 @@
             heartbeat_at: now,
             effects: Vec::new(),
         };
+        if !control.group_vms.is_empty()
+            && matches!(control.settings.group_rule, GroupRule::Grown { .. })
+        {
+            // A restart is told of no group: it must be stored before the first vote.
+            let vms = control.group_vms.clone();
+            control.group.set_vms(&vms);
+        }
         control.carry_out(now);
         control
     }
@@ -411,11 +418,11 @@
         self.seen_group = group.version;
         let is_member = group.vms.contains(&self.settings.owner.vm);
         let has_log = self.node().role() != ReplicaRole::Fresh;
-        if is_member && has_log {
+        if is_member && has_log && !self.node().vms().is_empty() {
             // The change comes by the log.
             return;
         }
-        if has_log {
+        if has_log && !is_member {
             self.group.leave_group(now);
         }
         self.group.set_vms(&group.vms);
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -260,8 +260,8 @@
     /// Majorities of the former and the new VMs overlap. A replica may lag by one change,
     /// as the next is proposed only after the last was committed.
     pub fn set_vms(&mut self, vms: &[VmName]) {
-        if self.settings.vms != vms {
-            self.settings.vms = vms.to_vec();
+        self.settings.vms = vms.to_vec();
+        if self.hard.vms != vms {
             self.hard.vms = vms.to_vec();
             self.save_hard_state();
         }
@@ -274,8 +274,11 @@
         }
     }
 
-    /// Replicas needed for a commit or an election.
+    /// Replicas needed for a commit or an election; out of reach while the group is unknown.
     pub fn quorum(&self) -> usize {
+        if self.settings.vms.is_empty() {
+            return usize::MAX;
+        }
         self.settings.vms.len() / 2 + 1
     }
 
