--- a/lib/tests/test_control_group.rs
+++ b/lib/tests/test_control_group.rs
@@ -37,11 +37,11 @@
 fn founders_are_stored_before_anything_else() {
     let mut control =
         ControlNode::new(settings(&["10.0.0.1", "10.0.0.2", "10.0.0.3"]), None, START);
-    let stored = control.take_effects().into_iter().filter_map(|it| match it {
+    let stored = control.take_effects().into_iter().rev().find_map(|it| match it {
         ControlEffect::Store(StoreEffect::SaveState(hard)) => Some(hard.vms.len()),
         _ => None,
     });
-    assert_eq!(stored.last(), Some(3));
+    assert_eq!(stored, Some(3));
 }
 
 #[test]
