lib: an entry that joins hears the leaders before it claims cells

Ruled out: fences (the old leaders gave up in order), lost beats (its peers were heard 60 ms later). Change: no claim within three beats of the first one that is heard. A test fails first.

--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -124,6 +124,8 @@
     pub(super) resumes_at: ClockTime,
     pub(super) ceded_at: ClockTime,
     pub(super) started_at: ClockTime,
+    /// When it began to hear others, after a start or after it heard nobody.
+    pub(super) joined_at: Option<ClockTime>,
     pub(super) highest_token: u64,
     pub(super) n_cells_led: u64,
     pub(super) n_offers: u64,
@@ -150,6 +152,7 @@
             resumes_at: now,
             ceded_at: now,
             started_at: now,
+            joined_at: None,
             highest_token: 0,
             n_cells_led: 0,
             n_offers: 0,
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -16,6 +16,10 @@
 /// election of the control group and a push.
 const PLANLESS_MS: u64 = 1_500;
 
+/// Time from the first beat that an entry hears until it claims cells that seem to have no
+/// leader, in ms: three beats of each VM that it then learns of.
+const SETTLE_MS: u64 = 400;
+
 /// Silence of a whole data centre after which others lead its cells, in ms.
 const FAR_CLAIM_MS: u64 = 1_500;
 
@@ -66,7 +70,8 @@
 
     /// Claims the cells that fall to this entry.
     pub(super) fn claim_cells(&mut self, now: ClockTime) {
-        let may_claim = self.resumes_at <= now && !self.is_isolated(now);
+        let has_settled = self.joined_at.is_some_and(|it| SETTLE_MS <= now.since_ms(it));
+        let may_claim = self.resumes_at <= now && !self.is_isolated(now) && has_settled;
         if self.stopping || self.plan.is_none() || !may_claim {
             return;
         }
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -144,6 +144,9 @@
             return;
         }
         self.wake(now);
+        if self.peers.values().all(|it| it.is_lost) {
+            self.joined_at = Some(now);
+        }
         let known = self.peers.get(from);
         let is_new_life = known.is_none_or(|it| it.beat.owner.incarnation < beat.owner.incarnation);
         if known.is_some_and(|it| beat.owner.incarnation < it.beat.owner.incarnation) {
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -4,27 +4,33 @@
 use yuccamux::{
     cell::{
         cell_leadership::{self, LeaderCandidate},
-        cell_message::{CellMessage, CellName},
+        cell_message::{CellMessage, CellName, PeerBeat},
         cell_node::{CellNode, CellSettings, NodeEffect},
         endpoint_directory::EndpointRecord,
         job_offer::ResourceRoom,
         route_plan::RoutePlan,
     },
+    config_state::ControlGroup,
     job_ledger::OwnerId,
     prelude::*,
+    vm_layout::VmRole,
 };
 
 const START: ClockTime = ClockTime(5_000_000);
 
 fn node(name: &str) -> (VmName, CellNode) {
+    node_started_at(name, START)
+}
+
+fn node_started_at(name: &str, now: ClockTime) -> (VmName, CellNode) {
     let vm = VmName::from(name);
     let settings = CellSettings {
-        owner: OwnerId { vm: vm.clone(), incarnation: START.0 },
+        owner: OwnerId { vm: vm.clone(), incarnation: now.0 },
         centre: DataCentre::from("munich"),
         weight: 250,
         controls: Vec::new(),
     };
-    (vm, CellNode::new(settings, START))
+    (vm, CellNode::new(settings, now))
 }
 
 fn record(rack: usize) -> EndpointRecord {
@@ -102,6 +108,52 @@
     assert_eq!(n_led, [2, 2, 2]);
 }
 
+#[test]
+fn added_entry_claims_nothing_before_it_hears_the_leaders() {
+    let mut now = START.plus_ms(800);
+    let (old, new) = (node("old"), node_started_at("new", now));
+    let mut nodes: IndexMap<VmName, CellNode> = [old, new].into_iter().collect();
+    let control = VmName::from("control");
+    let records: Vec<(EndpointRecord, bool)> = (0..6).map(|it| (record(it), false)).collect();
+    let members = nodes.keys().cloned().collect();
+    let beat = PeerBeat {
+        owner: OwnerId { vm: control.clone(), incarnation: 1 },
+        sent_at: START,
+        role: VmRole::Control,
+        centre: DataCentre::from("munich"),
+        weight: 0,
+        plan_version: 1,
+        stopping: false,
+        members,
+        group: ControlGroup::default(),
+        cells: Vec::new(),
+    };
+    let plan = RoutePlan { version: 1, ..RoutePlan::default() };
+    let learn = |node: &mut CellNode, now| {
+        node.receive_beat(&control, beat.clone(), now);
+        node.receive(&control, CellMessage::Plan(plan.clone()), now);
+        node.receive(&control, CellMessage::Endpoints(records.clone()), now);
+    };
+    learn(&mut nodes["old"], START);
+    for step in 1..40 {
+        let now = START.plus_ms(step * 20);
+        nodes["old"].receive_beat(&control, beat.clone(), now);
+        nodes["old"].tick(now);
+        nodes["old"].take_effects();
+    }
+    assert_eq!(nodes["old"].n_led(), 6);
+
+    learn(&mut nodes["new"], now);
+    for _ in 0..60 {
+        now = now.plus_ms(20);
+        for node in nodes.values_mut() {
+            node.receive_beat(&control, beat.clone(), now);
+        }
+        exchange(&mut nodes, now);
+        assert_eq!((nodes["old"].n_led(), nodes["new"].n_led()), (6, 0));
+    }
+}
+
 #[test]
 fn leader_that_is_heard_keeps_its_cell() {
     let cells = [cell("r1"), cell("r2")];
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fake_endpoint;
 pub mod fake_entry;
 pub mod fault_plan;
+pub mod load_world;
 pub mod message_bag;
 pub mod reference_page;
 pub mod system_world;
--- /dev/null
+++ b/testutils/src/load_world.rs
@@ -0,0 +1,477 @@
+//! One entry that leads every cell, endpoints of several speeds and jobs at a steady or
+//! bursting rate, in virtual time and without faults.
+//!
+//! It shows who waits and who is refused under a load, and what the decisions cost in
+//! processor time.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use indexmap::IndexMap;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use yuccamux::{
+    cell::{
+        cell_message::{CellMessage, PeerBeat},
+        cell_node::{CellNode, CellSettings, NodeEffect},
+        endpoint_directory::EndpointRecord,
+        endpoint_order::{EndpointOrder, OrderBody, OrderOutcome},
+        job_offer::{JobCode, JobOffer, JobStep, JobVerdict, ResourceRoom},
+        route_plan::{RequestLimits, RoutePlan, RouteRule},
+    },
+    config_state::ControlGroup,
+    entry_node::CallNumber,
+    job_ledger::OwnerId,
+    prelude::*,
+    vm_layout::VmRole,
+};
+
+use crate::cell_runner::CellRunner;
+
+/// Time from the start until jobs come, in ms: every endpoint has been claimed.
+const WARM_UP_MS: u64 = 1_500;
+/// Way of an order or an answer, in ms.
+const LINK_MS: u64 = 1;
+/// Time between ticks of the entry, in ms.
+const TICK_MS: u64 = 10;
+/// Time between announcements of all endpoints, in ms.
+const NEWS_MS: u64 = 4_000;
+/// Time between beats of a peer, in ms.
+const BEAT_MS: u64 = 120;
+/// Time for which a caller waits, in ms.
+const PATIENCE_MS: u64 = 1_500;
+/// Stretch and slack of the latency objective.
+const STRETCH_MILLI: u64 = 1_600;
+const SLACK_MS: u64 = 60;
+/// Spread of real run times and of declared ones, in thousandths either way.
+const WORK_SPREAD_MILLI: u64 = 150;
+
+/// Jobs that are alike.
+#[derive(Clone, Debug)]
+pub struct LoadKind {
+    /// Name of their route.
+    pub route: &'static str,
+    /// Jobs a second.
+    pub per_s: f64,
+    /// Tasks of a job.
+    pub n_tasks: u32,
+    /// Run time of a task on an endpoint of factor one, in ms.
+    pub work_ms: u64,
+    /// Processor of a task, in thousandths of a core; each job draws within a fifth of it.
+    pub cpu: u64,
+    /// Rank of the route.
+    pub priority: u32,
+    /// Racks that its data lies in, by number; empty when anywhere will do.
+    pub racks: Vec<usize>,
+}
+
+/// Endpoints and jobs of a load.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Racks.
+    pub n_racks: usize,
+    /// Endpoints in each rack.
+    pub n_endpoints: usize,
+    /// Processor of an endpoint, in thousandths of a core.
+    pub cpu: u64,
+    /// Factors on run times, dealt out to the endpoints in turn, in thousandths.
+    pub factors_milli: Vec<u64>,
+    /// Factor on the run time of a task off its data's rack, in thousandths.
+    pub off_rack_milli: u64,
+    /// Other entries, which beat.
+    pub n_peers: usize,
+    /// Time over which jobs come, in ms.
+    pub span_ms: u64,
+    /// The jobs.
+    pub kinds: Vec<LoadKind>,
+}
+
+/// What became of the jobs of a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KindOutcome {
+    /// Jobs that came.
+    pub n_jobs: u64,
+    /// Of these, ended within their objective.
+    pub n_in_time: u64,
+    /// Ended later, but within three times the objective.
+    pub n_late: u64,
+    /// Refused with none of their tasks started.
+    pub n_refused: u64,
+    /// Sum over refused jobs of the time until they were told, in ms.
+    pub refused_after_ms: u64,
+}
+
+impl KindOutcome {
+    /// Share that ended within the objective, in thousandths.
+    pub fn in_time_milli(&self) -> u64 {
+        self.n_in_time * 1000 / self.n_jobs.max(1)
+    }
+
+    /// Share that was served at all while of use, in thousandths.
+    pub fn served_milli(&self) -> u64 {
+        (self.n_in_time + self.n_late) * 1000 / self.n_jobs.max(1)
+    }
+}
+
+enum LoadEvent {
+    Tick,
+    News,
+    Beat(Option<usize>),
+    Submit(usize),
+    GiveUp(CallNumber),
+    Order(EndpointOrder),
+    LookEnds(EndpointOrder),
+    Outcome(EndpointOrder, OrderOutcome),
+}
+
+struct LoadJob {
+    kind: usize,
+    work_ms: u64,
+    rack: Option<String>,
+    objective_ms: u64,
+    read_at: ClockTime,
+    need: ResourceRoom,
+}
+
+/// The world of a load.
+pub struct LoadWorld {
+    /// What became of the jobs, by route.
+    pub outcomes: IndexMap<&'static str, KindOutcome>,
+    /// Processor time of the entry's decisions, by what caused them.
+    pub costs: IndexMap<&'static str, Duration>,
+    /// Starts that were ordered.
+    pub n_starts: u64,
+    plan: LoadPlan,
+    node: CellNode,
+    now: ClockTime,
+    rng: ChaCha8Rng,
+    events: BTreeMap<(ClockTime, u64), LoadEvent>,
+    n_events: u64,
+    runners: IndexMap<EndpointName, CellRunner>,
+    looks: IndexMap<EndpointName, EndpointOrder>,
+    jobs: IndexMap<JobCode, LoadJob>,
+    calls: IndexMap<CallNumber, JobCode>,
+    jobs_end_at: ClockTime,
+}
+
+fn rack_name(rack: usize) -> String {
+    format!("rack-{rack}")
+}
+
+fn owner(name: &str) -> OwnerId {
+    OwnerId { vm: VmName::from(name), incarnation: 1 }
+}
+
+fn route_plan(kinds: &[LoadKind]) -> RoutePlan {
+    let rule = |it: &LoadKind| RouteRule {
+        name: it.route.to_owned(),
+        host: "h".to_owned(),
+        path_prefix: format!("/{}/", it.route),
+        timeout_ms: PATIENCE_MS,
+        service: "s".to_owned(),
+        priority: it.priority,
+        max_attempts: 3,
+        stretch_milli: STRETCH_MILLI,
+        slack_ms: SLACK_MS,
+        needs_advice: false,
+    };
+    RoutePlan {
+        version: 1,
+        routes: kinds.iter().map(rule).collect(),
+        services: vec!["s".to_owned()],
+        limits: RequestLimits::default(),
+    }
+}
+
+fn beat(name: &str, role: VmRole, now: ClockTime) -> PeerBeat {
+    PeerBeat {
+        owner: owner(name),
+        sent_at: now,
+        role,
+        centre: DataCentre::from(if role == VmRole::Entry { "far" } else { "near" }),
+        weight: 100,
+        plan_version: 1,
+        stopping: false,
+        members: Vec::new(),
+        group: ControlGroup::default(),
+        cells: Vec::new(),
+    }
+}
+
+impl LoadWorld {
+    /// A world whose jobs are drawn by the seed.
+    pub fn new(seed: u64, plan: &LoadPlan) -> LoadWorld {
+        let now = ClockTime(1_000_000_000);
+        let settings = CellSettings {
+            owner: owner("entry"),
+            centre: DataCentre::from("near"),
+            weight: 100,
+            controls: Vec::new(),
+        };
+        let mut world = LoadWorld {
+            outcomes: IndexMap::new(),
+            costs: IndexMap::new(),
+            n_starts: 0,
+            plan: plan.clone(),
+            node: CellNode::new(settings, now),
+            now,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            n_events: 0,
+            runners: IndexMap::new(),
+            looks: IndexMap::new(),
+            jobs: IndexMap::new(),
+            calls: IndexMap::new(),
+            jobs_end_at: now.plus_ms(WARM_UP_MS + plan.span_ms),
+        };
+        world.add_runners();
+        world.push(now.plus_ms(10), LoadEvent::News);
+        world.push(now.plus_ms(20), LoadEvent::Tick);
+        world.push(now, LoadEvent::Beat(None));
+        for peer in 0..plan.n_peers {
+            world.push(now.plus_ms(peer as u64 % BEAT_MS), LoadEvent::Beat(Some(peer)));
+        }
+        for kind in 0..plan.kinds.len() {
+            world.push_submit(now.plus_ms(WARM_UP_MS), kind);
+        }
+        world
+    }
+
+    fn add_runners(&mut self) {
+        for rack in 0..self.plan.n_racks {
+            for idx in 0..self.plan.n_endpoints {
+                let name = EndpointName(format!("endpoint-{rack}-{idx}"));
+                let room = ResourceRoom { cpu: self.plan.cpu, mem_mb: 64_000, gpu: 0 };
+                let record = EndpointRecord {
+                    name: name.clone(),
+                    born: 1,
+                    seq: 1,
+                    service: "s".to_owned(),
+                    address: format!("10.0.{rack}.{idx}:1"),
+                    centre: DataCentre::from("near"),
+                    rack: rack_name(rack),
+                    labels: vec![rack_name(rack)],
+                    room,
+                    leaving: false,
+                };
+                let mut runner = CellRunner::new(record, 5_000);
+                let factors = &self.plan.factors_milli;
+                runner.factor_milli = factors[(rack + idx) % factors.len()];
+                self.runners.insert(name, runner);
+            }
+        }
+    }
+
+    fn push(&mut self, at: ClockTime, event: LoadEvent) {
+        self.n_events += 1;
+        self.events.insert((at, self.n_events), event);
+    }
+
+    fn push_submit(&mut self, from: ClockTime, kind: usize) {
+        let per_s = self.plan.kinds[kind].per_s;
+        let uniform: f64 = self.rng.random_range(1e-9..1.0);
+        let gap_ms = (-uniform.ln() / per_s * 1000.0) as u64;
+        let at = from.plus_ms(gap_ms);
+        if at < self.jobs_end_at {
+            self.push(at, LoadEvent::Submit(kind));
+        }
+    }
+
+    /// Plays until every job has had its time.
+    pub fn run(&mut self) {
+        let end = self.jobs_end_at.plus_ms(2 * PATIENCE_MS);
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            if end < at {
+                return;
+            }
+            self.now = at;
+            self.take(event);
+        }
+    }
+
+    fn take(&mut self, event: LoadEvent) {
+        match event {
+            LoadEvent::Tick => {
+                self.act("tick", |node, now| node.tick(now));
+                self.tick_runners();
+                self.push(self.now.plus_ms(TICK_MS), LoadEvent::Tick);
+            }
+            LoadEvent::News => self.announce(),
+            LoadEvent::Beat(peer) => {
+                let (name, role) = match peer {
+                    Some(peer) => (format!("peer-{peer}"), VmRole::Entry),
+                    None => ("control".to_owned(), VmRole::Control),
+                };
+                let beat = beat(&name, role, self.now);
+                let from = VmName(name);
+                self.act("beat", |node, now| node.receive_beat(&from, beat, now));
+                self.push(self.now.plus_ms(BEAT_MS), LoadEvent::Beat(peer));
+            }
+            LoadEvent::Submit(kind) => self.submit(kind),
+            LoadEvent::GiveUp(call) => {
+                if self.calls.swap_remove(&call).is_some() {
+                    self.act("withdraw", |node, now| node.withdraw(call, now));
+                }
+            }
+            LoadEvent::Order(order) => self.carry_out(order),
+            LoadEvent::LookEnds(order) => {
+                if self.looks.get(&order.endpoint).is_some_and(|it| it.number == order.number) {
+                    self.answer_look(&order.endpoint);
+                }
+            }
+            LoadEvent::Outcome(order, outcome) => {
+                let cause = match &order.body {
+                    OrderBody::Start { .. } => "start answered",
+                    OrderBody::Stop { .. } => "stop answered",
+                    OrderBody::Look { .. } => "look answered",
+                };
+                self.act(cause, |node, now| node.take_outcome(&order, outcome, now));
+            }
+        }
+    }
+
+    fn act(&mut self, cause: &'static str, act: impl FnOnce(&mut CellNode, ClockTime)) {
+        let began = Instant::now();
+        act(&mut self.node, self.now);
+        let effects = self.node.take_effects();
+        *self.costs.entry(cause).or_default() += began.elapsed();
+        for effect in effects {
+            match effect {
+                NodeEffect::Order(order) => {
+                    self.n_starts += u64::from(matches!(order.body, OrderBody::Start { .. }));
+                    self.push(self.now.plus_ms(LINK_MS), LoadEvent::Order(order));
+                }
+                NodeEffect::Answer(call, verdict) => self.answer(call, &verdict),
+                NodeEffect::Send(..) | NodeEffect::Beat(..) | NodeEffect::Note(_) => {}
+            }
+        }
+    }
+
+    fn announce(&mut self) {
+        let control = VmName::from("control");
+        let plan = CellMessage::Plan(route_plan(&self.plan.kinds));
+        let records = self.runners.values_mut().map(|it| {
+            it.record.seq += 1;
+            (it.record.clone(), false)
+        });
+        let endpoints = CellMessage::Endpoints(records.collect());
+        self.act("news", |node, now| {
+            node.receive(&control, plan, now);
+            node.receive(&control, endpoints, now);
+        });
+        self.push(self.now.plus_ms(NEWS_MS), LoadEvent::News);
+    }
+
+    fn submit(&mut self, kind: usize) {
+        self.push_submit(self.now, kind);
+        let load = self.plan.kinds[kind].clone();
+        let code = JobCode(self.jobs.len() as u64 + 1);
+        let call = CallNumber(code.0);
+        let rack = (!load.racks.is_empty())
+            .then(|| rack_name(load.racks[self.rng.random_range(0..load.racks.len())]));
+        let cpu = load.cpu * self.rng.random_range(800..1_200) / 1000;
+        let spread = WORK_SPREAD_MILLI;
+        let work_ms = load.work_ms * self.rng.random_range(1000 - spread..1000 + spread) / 1000;
+        let declared_ms = work_ms * self.rng.random_range(1000 - spread..1000 + spread) / 1000;
+        let need = ResourceRoom { cpu, mem_mb: 64, gpu: 0 };
+        let step = JobStep {
+            count: load.n_tasks,
+            need,
+            declared_ms,
+            after: Vec::new(),
+            data_rack: rack.clone(),
+            label: None,
+            max_on_endpoint: None,
+        };
+        let offer = JobOffer {
+            job: code,
+            route: load.route.to_owned(),
+            service: "s".to_owned(),
+            spec: "x".to_owned(),
+            steps: vec![step],
+            priority: load.priority,
+            max_attempts: 3,
+            stretch_milli: STRETCH_MILLI,
+            slack_ms: SLACK_MS,
+            age_ms: 0,
+            remaining_ms: PATIENCE_MS,
+            first_run: 0,
+            number: 0,
+            is_repeat: false,
+        };
+        let objective_ms = work_ms * STRETCH_MILLI / 1000 + SLACK_MS;
+        let read_at = self.now;
+        self.jobs.insert(code, LoadJob { kind, work_ms, rack, objective_ms, read_at, need });
+        self.outcomes.entry(load.route).or_default().n_jobs += 1;
+        self.calls.insert(call, code);
+        self.push(self.now.plus_ms(PATIENCE_MS), LoadEvent::GiveUp(call));
+        self.act("submit", |node, now| node.submit(call, offer, now));
+    }
+
+    fn answer(&mut self, call: CallNumber, verdict: &JobVerdict) {
+        let Some(code) = self.calls.swap_remove(&call) else { return };
+        let job = &self.jobs[&code];
+        let took_ms = self.now.since_ms(job.read_at);
+        let outcome = self.outcomes.entry(self.plan.kinds[job.kind].route).or_default();
+        match verdict {
+            JobVerdict::Completed if took_ms <= job.objective_ms => outcome.n_in_time += 1,
+            JobVerdict::Completed if took_ms <= 3 * job.objective_ms => outcome.n_late += 1,
+            JobVerdict::Refused(..) => {
+                outcome.n_refused += 1;
+                outcome.refused_after_ms += took_ms;
+            }
+            _ => {}
+        }
+    }
+
+    fn carry_out(&mut self, order: EndpointOrder) {
+        let (need, work_ms) = self.work_of(&order);
+        let Some(runner) = self.runners.get_mut(&order.endpoint) else { return };
+        let outcome = runner.carry_out(&order, need, work_ms, self.now);
+        if let OrderBody::Look { wait_ms, .. } = &order.body
+            && 0 < *wait_ms
+            && matches!(outcome, OrderOutcome::Carried(..))
+            && !runner.has_ends()
+        {
+            let at = self.now.plus_ms(*wait_ms);
+            self.looks.insert(order.endpoint.clone(), order.clone());
+            self.push(at, LoadEvent::LookEnds(order));
+            return;
+        }
+        self.push(self.now.plus_ms(LINK_MS), LoadEvent::Outcome(order, outcome));
+    }
+
+    fn work_of(&self, order: &EndpointOrder) -> (ResourceRoom, u64) {
+        let OrderBody::Start { task, .. } = &order.body else {
+            return (ResourceRoom::default(), 0);
+        };
+        let job = &self.jobs[&task.job];
+        let is_off = job.rack.as_ref().is_some_and(|it| {
+            self.runners.get(&order.endpoint).is_some_and(|runner| runner.record.rack != *it)
+        });
+        let factor_milli = if is_off { self.plan.off_rack_milli } else { 1000 };
+        (job.need, job.work_ms * factor_milli / 1000)
+    }
+
+    fn tick_runners(&mut self) {
+        let now = self.now;
+        let ended: Vec<EndpointName> = self
+            .runners
+            .iter_mut()
+            .filter_map(|(name, it)| it.tick(now, |_, _| 1_000).then(|| name.clone()))
+            .collect();
+        for name in ended {
+            self.answer_look(&name);
+        }
+    }
+
+    fn answer_look(&mut self, name: &EndpointName) {
+        let Some(order) = self.looks.swap_remove(name) else { return };
+        let runner = &self.runners[name];
+        let lists = runner.lists(self.now);
+        let outcome = OrderOutcome::Carried(self.now.0 + runner.clock_ahead, Some(lists));
+        self.push(self.now.plus_ms(LINK_MS), LoadEvent::Outcome(order, outcome));
+    }
+}
