lib: entries draw cells in proportion to open room; a rack keeps room for its own load

Reports of leaders are 120 to 240 ms old, and each of the nine entries of a data centre sent its jobs to the same emptiest cell until the next report. Jobs with data in a rack met racks filled by others: 12% kept everywhere, while the racks' own load differs tenfold. Change: a weighted draw by job and cell among cells with room, near ones first; where none has room, the wait is judged with a spread of half. A leader reports the room that is open to jobs without a rack: beside what they take, twice the load that came for its rack in the last one to two seconds is kept, 8% at least.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -13,6 +13,7 @@
         decision_note::DecisionNote,
         endpoint_order::EndpointOrder,
         endpoint_state::EndpointState,
+        home_load::HomeLoad,
         job_offer::{JobCode, JobOffer, JobVerdict, TaskRef},
         run_forecast::RouteRatios,
     },
@@ -106,6 +107,7 @@
     pub(super) refusals: IndexMap<(VmName, JobCode, u64), JobVerdict>,
     pub(super) verdict_times: VecDeque<(ClockTime, KeptVerdict)>,
     pub(super) ratios: RouteRatios,
+    pub(super) home_load: HomeLoad,
     /// Whether every endpoint that a former leader used is known.
     pub(super) endpoints_are_known: bool,
     /// Tasks that ended as done before their job was offered here.
@@ -138,6 +140,7 @@
             refusals: IndexMap::new(),
             verdict_times: VecDeque::new(),
             ratios: RouteRatios::default(),
+            home_load: HomeLoad::default(),
             endpoints_are_known,
             former_done: IndexMap::new(),
             is_obeyed: false,
@@ -191,6 +194,7 @@
             token: self.token,
             cpu: 0,
             free_cpu: 0,
+            open_cpu: 0,
             queued_work: 0,
         };
         for endpoint in self.endpoints.values() {
@@ -206,9 +210,26 @@
                 report.queued_work += usual_ms * step.need.cpu;
             }
         }
+        report.open_cpu = self.open_cpu(&report, now);
         report
     }
 
+    /// Free processor that jobs without data in the rack may take.
+    fn open_cpu(&self, report: &CellReport, now: ClockTime) -> u64 {
+        let runs = self.endpoints.values().flat_map(|it| &it.runs);
+        let is_guest =
+            |task: &TaskRef| self.jobs.get(&task.job).is_none_or(|it| !self.is_home(&it.offer));
+        let guest_cpu: u64 =
+            runs.filter(|(task, _)| is_guest(task)).map(|(_, run)| run.need.cpu).sum();
+        let kept = self.home_load.kept_cpu(report.cpu, now);
+        report.free_cpu.min(report.cpu.saturating_sub(guest_cpu + kept))
+    }
+
+    /// Whether the data of a job lies in the cell's rack.
+    pub(super) fn is_home(&self, offer: &JobOffer) -> bool {
+        offer.data_rack() == Some(&self.cell.rack)
+    }
+
     pub(super) fn note(&mut self, note: DecisionNote) {
         self.effects.push(CellEffect::Note(note));
     }
--- a/lib/src/cell/cell_message.rs
+++ b/lib/src/cell/cell_message.rs
@@ -63,6 +63,9 @@
     pub cpu: u64,
     /// Processor that is free, in thousandths of a core.
     pub free_cpu: u64,
+    /// Processor that is free beyond what is kept for jobs with data in the cell's rack, in
+    /// thousandths of a core.
+    pub open_cpu: u64,
     /// Work that waits, in ms of thousandths of a core.
     pub queued_work: u64,
 }
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -54,6 +54,10 @@
             return;
         }
         let mut job = self.new_job(front, offer, now);
+        if self.is_home(&job.offer) {
+            let work = self.ratios.usual_ms(&job.offer.route, job.offer.declared_work());
+            self.home_load.add(work, now);
+        }
         self.adopt_runs(&mut job, now);
         if !job.may_have_run
             && let Some((cause, wait_ms)) = self.refusal(&job, now)
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -4,6 +4,8 @@
 //! A job is bound to the cell that it was first offered to. It moves to another cell
 //! only after a refusal, which proves that none of its tasks has started.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use indexmap::IndexMap;
 
 use crate::{
@@ -20,8 +22,6 @@
 const FAR_COST_MS: u64 = 6;
 /// Age of a leader's report after which it says nothing, in ms.
 const REPORT_MS: u64 = 1_500;
-/// Share of a cell's processor that is kept for jobs with data in its rack, in thousandths.
-const HOME_SHARE_MILLI: u64 = 120;
 
 /// A job whose caller waits.
 #[derive(Clone, Debug)]
@@ -74,7 +74,22 @@
     pub offered_work: u64,
 }
 
+impl CellView {
+    /// Processor that is open to jobs without a rack, in thousandths of a core.
+    fn open_cpu(&self) -> u64 {
+        self.report.open_cpu.saturating_sub(self.offered_cpu)
+    }
+
+    /// Whether a job without a rack could start there at once.
+    pub fn has_room(&self, offer: &JobOffer) -> bool {
+        offer.first_cpu() <= self.open_cpu() && self.report.queued_work == 0
+    }
+}
+
 /// Chooses the cell for a job that has not been offered, or was refused by some.
+///
+/// Other entries choose at the same time by the same reports, so a job without a rack goes to
+/// cells with open room in proportion to it, and not to the emptiest one.
 pub fn choose_cell(
     job: &FrontJob,
     centre: &DataCentre,
@@ -93,33 +108,54 @@
     {
         return Some(cell.clone());
     }
-    let usable = views.iter().filter(|(cell, view)| usable(cell, view));
-    let best = usable.min_by_key(|(cell, view)| {
+    let usable = || views.iter().filter(|(cell, view)| usable(cell, view));
+    let near = usable().filter(|(cell, _)| cell.centre == *centre);
+    if let Some(cell) = draw_open(job, near) {
+        return Some(cell);
+    }
+    if let Some(cell) = draw_open(job, usable().filter(|(cell, _)| cell.centre != *centre)) {
+        return Some(cell);
+    }
+    let best = usable().min_by_key(|(cell, view)| {
         let far_ms = if cell.centre == *centre { 0 } else { FAR_COST_MS };
-        (expected_wait(job, view) + far_ms, load_milli(view))
+        let wait_ms = expected_wait(job, view) + far_ms;
+        // A spread of half keeps the entries from all choosing the shortest queue.
+        wait_ms * (1000 + draw_milli(job, cell) / 2)
     });
     best.map(|(cell, _)| cell.clone())
 }
 
+/// Draws a cell that has room for the job at once, in proportion to its open room.
+fn draw_open<'a>(
+    job: &FrontJob,
+    cells: impl Iterator<Item = (&'a CellName, &'a CellView)>,
+) -> Option<CellName> {
+    let open = cells
+        .filter(|(_, view)| view.has_room(&job.offer))
+        .map(|(cell, view)| (cell, view.open_cpu()));
+    // Weighted rendezvous: the smallest of exponential times whose rates are the weights.
+    let time = |cell: &CellName, open: u64| {
+        let uniform = (draw_milli(job, cell) as f64 + 1.0) / 1001.0;
+        -uniform.ln() / open.max(1) as f64
+    };
+    let timed = open.map(|(cell, open)| (time(cell, open), cell));
+    timed.min_by(|(lhs, _), (rhs, _)| lhs.total_cmp(rhs)).map(|(_, cell)| cell.clone())
+}
+
+/// A figure from 0 to 999 that a job and a cell have for each other.
+fn draw_milli(job: &FrontJob, cell: &CellName) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (job.offer.job.0, &cell.rack, &cell.centre).hash(&mut hasher);
+    hasher.finish() % 1000
+}
+
 /// Expected wait in a cell, in ms.
 fn expected_wait(job: &FrontJob, view: &CellView) -> u64 {
     let report = &view.report;
-    let kept = report.cpu * HOME_SHARE_MILLI / 1000;
-    let free = report.free_cpu.saturating_sub(view.offered_cpu + kept);
     let waiting = report.queued_work + view.offered_work;
-    let wait_ms = waiting / report.cpu.max(1);
-    let need = job.offer.first_cpu();
-    if need <= free && report.queued_work == 0 {
-        return 0;
-    }
-    let short = need.saturating_sub(free);
+    let short = job.offer.first_cpu().saturating_sub(view.open_cpu());
     // What does not fit waits for its own kind of work to end, at the cell's speed.
-    wait_ms + short * job.offer.declared_chain_ms() / report.cpu.max(1) + 1
-}
-
-fn load_milli(view: &CellView) -> u64 {
-    let free = view.report.free_cpu.saturating_sub(view.offered_cpu);
-    1000 - (free * 1000 / view.report.cpu.max(1)).min(1000)
+    (waiting + short * job.offer.declared_chain_ms()) / report.cpu.max(1) + 1
 }
 
 /// Jobs whose callers wait at this entry.
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -32,6 +32,7 @@
 pub mod endpoint_directory;
 pub mod endpoint_order;
 mod endpoint_state;
+mod home_load;
 pub mod job_offer;
 pub mod job_router;
 mod node_callers;
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -107,6 +107,7 @@
         let note = DecisionNote::new(now, NoteEvent::JobOffered, cell.to_string(), leader.as_str())
             .about(code)
             .with("free_cpu", view.report.free_cpu)
+            .with("open_cpu", view.report.open_cpu)
             .with("queued_work", view.report.queued_work)
             .with("report_age_ms", now.since_ms(view.reported_at));
         self.note(note);
@@ -180,8 +181,7 @@
             return false;
         };
         let Some(view) = self.views.get(&cell) else { return false };
-        let free = view.report.free_cpu.saturating_sub(view.offered_cpu);
-        if free < job.offer.first_cpu() || 0 < view.report.queued_work {
+        if !view.has_room(&job.offer) {
             return false;
         }
         job.cell = Some(cell);
--- /dev/null
+++ b/lib/tests/test_load_patterns.rs
@@ -0,0 +1,116 @@
+//! Load patterns of heavy days, each with the decision that answers it.
+
+use indexmap::IndexMap;
+use yuccamux::{
+    cell::{
+        cell_message::{CellName, CellReport},
+        job_offer::{JobCode, JobOffer, JobStep, ResourceRoom},
+        job_router::{self, CellView, FrontJob},
+    },
+    entry_node::CallNumber,
+    prelude::*,
+};
+
+const NOW: ClockTime = ClockTime(5_000_000);
+
+fn cell(rack: &str) -> CellName {
+    CellName { service: "s".to_owned(), centre: DataCentre::from("perth"), rack: rack.to_owned() }
+}
+
+/// A cell with so many of its 100 cores open.
+fn view(rack: &str, open_cores: u64) -> (CellName, CellView) {
+    let report = CellReport {
+        cell: cell(rack),
+        token: 1,
+        cpu: 100_000,
+        free_cpu: open_cores * 1000,
+        open_cpu: open_cores * 1000,
+        queued_work: 0,
+    };
+    let leader = VmName(format!("leader-{rack}"));
+    (cell(rack), CellView { leader, report, reported_at: NOW, offered_cpu: 0, offered_work: 0 })
+}
+
+/// A job of two tasks of two cores each.
+fn job(code: u64, data_rack: Option<&str>) -> FrontJob {
+    let step = JobStep {
+        count: 2,
+        need: ResourceRoom { cpu: 2_000, mem_mb: 10, gpu: 0 },
+        declared_ms: 200,
+        after: Vec::new(),
+        data_rack: data_rack.map(str::to_owned),
+        label: None,
+        max_on_endpoint: None,
+    };
+    let offer = JobOffer {
+        job: JobCode(code),
+        route: "lookup".to_owned(),
+        service: "s".to_owned(),
+        spec: String::new(),
+        steps: vec![step],
+        priority: 0,
+        max_attempts: 3,
+        stretch_milli: 1_600,
+        slack_ms: 60,
+        age_ms: 0,
+        remaining_ms: 1_500,
+        first_run: 0,
+        number: 0,
+        is_repeat: false,
+    };
+    FrontJob {
+        call: CallNumber(code),
+        offer,
+        read_at: NOW,
+        waits_until: NOW.plus_ms(1_500),
+        cell: None,
+        leader: None,
+        offered_at: NOW,
+        adrift_since: NOW,
+        was_offered: false,
+        refused_by: Vec::new(),
+    }
+}
+
+/// Cells that `n_entries` entries choose for a job each, all by the same reports.
+fn choices(n_entries: u64, views: &IndexMap<CellName, CellView>) -> IndexMap<String, u64> {
+    let mut chosen = IndexMap::new();
+    for code in 0..n_entries {
+        let job = job(code, None);
+        let choice = job_router::choose_cell(&job, &DataCentre::from("perth"), views, NOW);
+        *chosen.entry(choice.map_or(String::new(), |it| it.rack)).or_default() += 1;
+    }
+    chosen
+}
+
+/// Many entries choose between two reports of the leaders.
+#[test]
+fn herd_spreads_in_proportion_to_open_room() {
+    let views = [view("r1", 60), view("r2", 30), view("r3", 10), view("full", 0)];
+    let chosen = choices(1_000, &views.into_iter().collect());
+    assert!(!chosen.contains_key("full"), "{chosen:?}");
+    assert!((520..680).contains(&chosen["r1"]), "{chosen:?}");
+    assert!((230..370).contains(&chosen["r2"]), "{chosen:?}");
+    assert!((50..150).contains(&chosen["r3"]), "{chosen:?}");
+}
+
+/// No cell has room; the queues differ little.
+#[test]
+fn herd_does_not_pile_up_on_the_shortest_queue() {
+    let views = (1..=10).map(|it| {
+        let (cell, mut view) = view(&format!("r{it}"), 0);
+        view.report.queued_work = 100_000 * (100 + it);
+        (cell, view)
+    });
+    let chosen = choices(1_000, &views.collect());
+    assert!(chosen.values().all(|it| *it < 300), "{chosen:?}");
+}
+
+/// Data lies in one rack, which others have filled.
+#[test]
+fn job_goes_to_the_rack_of_its_data_while_that_is_led() {
+    let views: IndexMap<_, _> = [view("r1", 60), view("r2", 0)].into_iter().collect();
+    let perth = DataCentre::from("perth");
+    let choice = job_router::choose_cell(&job(1, Some("r2")), &perth, &views, NOW);
+    assert_eq!(choice.map(|it| it.rack), Some("r2".to_owned()));
+}
