lib: crowded cells give jobs back unstarted, which move to where they end sooner; begun jobs go first

Ruled out: a wider rack choice at the entry alone (its reports are 120 to 240 ms old; the leader knows). Change: a leader gives an unstarted job back, once, when it would not end in time there. Its entry moves it to a cell with open room if it ends sooner there, quick endpoints first, or offers it again to stay. Begun jobs go with those that can still end in time; of the late ones the newest goes first, so that the others are refused while that is of use. The factor off the data's rack is a setting (it was 2 everywhere). An unused refusal cause is gone.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -15,7 +15,7 @@
         endpoint_state::EndpointState,
         home_load::HomeLoad,
         job_offer::{JobCode, JobOffer, JobVerdict, TaskRef},
-        run_forecast::RouteRatios,
+        run_forecast::{QUICK_MILLI, RouteRatios},
     },
     prelude::*,
 };
@@ -29,6 +29,9 @@
 /// Time added before a run counts as stalled, in ms: the spread of short runs.
 pub(super) const STALL_SLACK_MS: u64 = 150;
 
+/// Factor on the run time of a task off its data's rack where none is set, in thousandths.
+const OFF_RACK_MILLI: u64 = 2_000;
+
 /// Something for the surroundings to do.
 #[derive(Data!)]
 pub enum CellEffect {
@@ -91,6 +94,12 @@
         self.offer.steps[step as usize].after.iter().all(is_done)
     }
 
+    /// Processor of the tasks that wait, in thousandths of a core.
+    pub(super) fn waiting_cpu(&self) -> u64 {
+        let waiting = self.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting);
+        waiting.map(|it| self.offer.steps[it.task.step as usize].need.cpu).sum()
+    }
+
     pub(super) fn waits(&self) -> bool {
         self.tasks.iter().any(|it| it.phase == TaskPhase::Waiting)
     }
@@ -108,6 +117,8 @@
     pub(super) verdict_times: VecDeque<(ClockTime, KeptVerdict)>,
     pub(super) ratios: RouteRatios,
     pub(super) home_load: HomeLoad,
+    /// Factor on the run time of a task off its data's rack, in thousandths.
+    pub(super) off_rack_milli: u64,
     /// Whether every endpoint that a former leader used is known.
     pub(super) endpoints_are_known: bool,
     /// Tasks that ended as done before their job was offered here.
@@ -141,6 +152,7 @@
             verdict_times: VecDeque::new(),
             ratios: RouteRatios::default(),
             home_load: HomeLoad::default(),
+            off_rack_milli: OFF_RACK_MILLI,
             endpoints_are_known,
             former_done: IndexMap::new(),
             is_obeyed: false,
@@ -151,6 +163,11 @@
         }
     }
 
+    /// The leader with a factor on the run time of tasks off their data's rack.
+    pub fn with_off_rack_milli(self, off_rack_milli: u64) -> CellDispatcher {
+        CellDispatcher { off_rack_milli, ..self }
+    }
+
     /// The leader's token.
     pub fn token(&self) -> u64 {
         self.token
@@ -195,12 +212,17 @@
             cpu: 0,
             free_cpu: 0,
             open_cpu: 0,
+            quick_cpu: 0,
             queued_work: 0,
         };
         for endpoint in self.endpoints.values() {
             if endpoint.takes_starts(now) {
+                let free_cpu = endpoint.free_room().cpu;
                 report.cpu += endpoint.record.room.cpu;
-                report.free_cpu += endpoint.free_room().cpu;
+                report.free_cpu += free_cpu;
+                if endpoint.pace.factor_milli(now) <= QUICK_MILLI {
+                    report.quick_cpu += free_cpu;
+                }
             }
         }
         for job in self.jobs.values() {
@@ -211,6 +233,7 @@
             }
         }
         report.open_cpu = self.open_cpu(&report, now);
+        report.quick_cpu = report.quick_cpu.min(report.open_cpu);
         report
     }
 
--- a/lib/src/cell/cell_message.rs
+++ b/lib/src/cell/cell_message.rs
@@ -66,6 +66,8 @@
     /// Processor that is free beyond what is kept for jobs with data in the cell's rack, in
     /// thousandths of a core.
     pub open_cpu: u64,
+    /// Of the open processor, that of endpoints well faster than average.
+    pub quick_cpu: u64,
     /// Work that waits, in ms of thousandths of a core.
     pub queued_work: u64,
 }
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -64,6 +64,8 @@
     pub weight: u64,
     /// Control VMs to begin with.
     pub controls: Vec<VmName>,
+    /// Factor on the run time of a task off its data's rack, in thousandths.
+    pub off_rack_milli: u64,
 }
 
 /// Something for the surroundings to do.
--- a/lib/src/cell/decision_note.rs
+++ b/lib/src/cell/decision_note.rs
@@ -40,6 +40,8 @@
     JobAccepted = "job_accepted",
     /// A job was refused without having run.
     JobRefused = "job_refused",
+    /// A crowded cell gave a job back unstarted; its entry moves it or leaves it there.
+    JobSentBack = "job_sent_back",
     /// A job was offered to a cell's leader.
     JobOffered = "job_offered",
     /// A copy of a job was joined to the one at work.
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -5,7 +5,7 @@
         cell_dispatcher::{CellDispatcher, CellEffect, CellJob, CellTask, KeptVerdict, TaskPhase},
         cell_placement,
         decision_note::{DecisionNote, NoteEvent},
-        endpoint_state::RunPhase,
+        endpoint_state::{EndpointState, RunPhase},
         job_offer::{JobCode, JobOffer, JobVerdict, RefusalCause, TaskRef},
     },
     prelude::*,
@@ -30,6 +30,19 @@
 /// Shortest and longest time after which a refused caller is asked to return, in ms.
 const RETRY_AFTER_MS: (u64, u64) = (200, 3_000);
 
+/// Chance of a job to be of use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum RankGroup {
+    InTime,
+    Begun,
+    Late,
+    Useless,
+}
+
+/// Place of a job in the queue: its group, and its place in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct JobRank(RankGroup, u64);
+
 impl CellDispatcher {
     /// Takes a job that `front` offers.
     pub fn offer(&mut self, front: &VmName, offer: JobOffer, now: ClockTime) {
@@ -59,11 +72,17 @@
             self.home_load.add(work, now);
         }
         self.adopt_runs(&mut job, now);
-        if !job.may_have_run
-            && let Some((cause, wait_ms)) = self.refusal(&job, now)
-        {
-            self.refuse(&job, cause, wait_ms, now);
-            return;
+        if !job.may_have_run {
+            let wait_ms = self.wait_ms(&job, now);
+            if let Some(cause) = self.refusal(&job, wait_ms, now) {
+                self.refuse(&job, cause, wait_ms, now);
+                return;
+            }
+            let wait_ms = wait_ms.max(self.room_in_ms(&job, now));
+            if self.is_crowded(&job, wait_ms, now) {
+                self.send_back(&job, wait_ms, now);
+                return;
+            }
         }
         let is_done = job.n_left == 0;
         self.jobs.insert(code, job);
@@ -143,51 +162,109 @@
         }
     }
 
-    /// Why a job that has not started should be refused, and the wait that it would have.
-    pub(super) fn refusal(&self, job: &CellJob, now: ClockTime) -> Option<(RefusalCause, u64)> {
+    /// Why a job that has not started and would wait `wait_ms` should be refused.
+    pub(super) fn refusal(
+        &self,
+        job: &CellJob,
+        wait_ms: u64,
+        now: ClockTime,
+    ) -> Option<RefusalCause> {
         if self.endpoints.is_empty() {
-            return Some((RefusalCause::NoEndpoint, 0));
+            return Some(RefusalCause::NoEndpoint);
         }
         let fits = |it| cell_placement::can_ever_fit(it, &self.endpoints);
         if !job.offer.steps.iter().all(fits) {
-            return Some((RefusalCause::NeverFits, 0));
+            return Some(RefusalCause::NeverFits);
         }
-        let wait_ms = self.wait_ms(job, now);
         if MAX_JOBS <= self.jobs.len() {
-            return Some((RefusalCause::QueueFull, wait_ms));
+            return Some(RefusalCause::QueueFull);
         }
+        let end = now.plus_ms(wait_ms + self.chain_ms(job));
+        (job.waits_until.min(job.useful_until) < end).then_some(RefusalCause::Hopeless)
+    }
+
+    /// Whether a job that may move would wait too long to end in time here.
+    pub(super) fn is_crowded(&self, job: &CellJob, wait_ms: u64, now: ClockTime) -> bool {
+        let end = now.plus_ms(wait_ms + self.chain_ms(job));
+        job.offer.may_move && !job.may_have_run && job.due_at < end
+    }
+
+    /// Predicted time until the first steps of a job fit beside those that go before it, in ms.
+    fn room_in_ms(&self, job: &CellJob, now: ClockTime) -> u64 {
+        let rank = self.rank(job, now);
+        let ahead = self.jobs.values().filter(|it| it.waits() && self.rank(it, now) < rank);
+        let need: u64 = ahead.map(CellJob::waiting_cpu).sum::<u64>() + job.offer.first_cpu();
+        let mut usable: Vec<&EndpointState> =
+            self.endpoints.values().filter(|it| it.takes_starts(now)).collect();
+        usable.retain(|it| !it.pace.is_slow(now));
+        let mut free: u64 = usable.iter().map(|it| it.free_room().cpu).sum();
+        let mut ends: Vec<(u64, u64)> = usable
+            .iter()
+            .flat_map(|it| it.runs.values())
+            .map(|it| (it.ordered_at.plus_ms(it.predicted_ms).since_ms(now), it.need.cpu))
+            .collect();
+        ends.sort_unstable();
+        let mut wait_ms = 0;
+        for (left_ms, cpu) in ends {
+            if need <= free {
+                break;
+            }
+            free += cpu;
+            wait_ms = left_ms;
+        }
+        wait_ms
+    }
+
+    /// Run time of a job's longest chain on average endpoints of this cell, in ms.
+    pub(super) fn chain_ms(&self, job: &CellJob) -> u64 {
         let chain_ms = self.ratios.usual_ms(&job.offer.route, job.offer.declared_chain_ms());
-        let is_hopeless = job.waits_until.min(job.useful_until) < now.plus_ms(wait_ms + chain_ms);
-        is_hopeless.then_some((RefusalCause::Hopeless, wait_ms))
+        match job.offer.data_rack() {
+            Some(rack) if rack != self.cell.rack => chain_ms * self.off_rack_milli / 1000,
+            _ => chain_ms,
+        }
     }
 
     /// Predicted wait of a job behind those that go before it, in ms.
     pub(super) fn wait_ms(&self, job: &CellJob, now: ClockTime) -> u64 {
-        let usable = self.endpoints.values().filter(|it| it.takes_starts(now));
-        let cpu: u64 = usable.map(|it| it.record.room.cpu).sum();
-        if cpu == 0 {
-            // Nothing is claimed yet; that says nothing of the wait.
-            return 0;
-        }
         let rank = self.rank(job, now);
         let ahead = self.jobs.values().filter(|it| it.waits() && self.rank(it, now) <= rank);
-        let work: u64 = ahead
-            .map(|it| {
-                let n_waiting = it.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting).count();
-                let n_tasks = it.tasks.len().max(1) as u64;
-                let declared = it.offer.declared_work() * n_waiting as u64 / n_tasks;
-                self.ratios.usual_ms(&it.offer.route, declared)
-            })
-            .sum();
-        work / cpu
+        let work: u64 = ahead.map(|it| self.waiting_work(it)).sum();
+        // Nothing usable says nothing of the wait.
+        work.checked_div(self.usable_cpu(now)).unwrap_or(0)
     }
 
-    /// Order in which jobs get endpoints: those that can still end in time first, the ones
-    /// with the least slack before the others.
-    pub(super) fn rank(&self, job: &CellJob, now: ClockTime) -> (bool, ClockTime) {
-        let chain_ms = self.ratios.usual_ms(&job.offer.route, job.offer.declared_chain_ms());
+    /// Processor of the endpoints that take starts, in thousandths of a core.
+    pub(super) fn usable_cpu(&self, now: ClockTime) -> u64 {
+        let usable = self.endpoints.values().filter(|it| it.takes_starts(now));
+        usable.map(|it| it.record.room.cpu).sum()
+    }
+
+    /// Work of a job's tasks that wait, in ms of thousandths of a core.
+    pub(super) fn waiting_work(&self, job: &CellJob) -> u64 {
+        let n_waiting = job.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting).count();
+        let declared = job.offer.declared_work() * n_waiting as u64 / job.tasks.len().max(1) as u64;
+        self.ratios.usual_ms(&job.offer.route, declared)
+    }
+
+    /// Order in which jobs get endpoints.
+    ///
+    /// Those that can end in time go first, with the least slack before the others, and with
+    /// them those that are mostly started, as their work would be lost; then those that have
+    /// begun. Of the other late ones the newest goes first: the others are refused in time rather than all served too late.
+    pub(super) fn rank(&self, job: &CellJob, now: ClockTime) -> JobRank {
+        let chain_ms = self.chain_ms(job);
         let start_by = job.due_at.minus_ms(chain_ms);
-        (start_by < now, start_by)
+        if job.useful_until < now.plus_ms(chain_ms) {
+            return JobRank(RankGroup::Useless, start_by.0);
+        }
+        let n_waiting = job.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting).count();
+        if now <= start_by || n_waiting < job.tasks.len() {
+            JobRank(RankGroup::InTime, start_by.0)
+        } else if n_waiting < job.tasks.len() {
+            JobRank(RankGroup::Begun, start_by.0)
+        } else {
+            JobRank(RankGroup::Late, u64::MAX - start_by.0)
+        }
     }
 
     pub(super) fn refuse(
@@ -211,7 +288,23 @@
         .with("waited_ms", now.since_ms(job.arrived_at))
         .with("jobs", self.jobs.len() as u64);
         self.note(note);
-        let verdict = JobVerdict::Refused(cause, retry_ms);
+        self.turn_away(job, JobVerdict::Refused(cause, retry_ms), now);
+    }
+
+    /// Gives a job back to its entry, which may know a better cell.
+    pub(super) fn send_back(&mut self, job: &CellJob, wait_ms: u64, now: ClockTime) {
+        check_invariant(Invariant::RefusalIsTrue, !job.may_have_run);
+        let note = DecisionNote::new(now, NoteEvent::JobSentBack, self.cell.to_string(), "crowded")
+            .about(job.offer.job)
+            .with("wait_ms", wait_ms)
+            .with("slack_ms", job.due_at.since_ms(now.plus_ms(self.chain_ms(job))))
+            .with("waited_ms", now.since_ms(job.arrived_at));
+        self.note(note);
+        self.turn_away(job, JobVerdict::Crowded(wait_ms), now);
+    }
+
+    /// Tells an offer's entry that nothing of it runs; the same when it is sent again.
+    fn turn_away(&mut self, job: &CellJob, verdict: JobVerdict, now: ClockTime) {
         let offer = (job.front.clone(), job.offer.job, job.offer.number);
         self.refusals.insert(offer.clone(), verdict.clone());
         self.verdict_times.push_back((now, KeptVerdict::Refusal(offer.clone())));
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -7,6 +7,7 @@
         cell_dispatcher::{CellDispatcher, CellEffect, LEASE_MS, ORDER_TIME_MS, TaskPhase},
         cell_placement::{self, PlacementAsk, PlacementChoice},
         decision_note::{DecisionNote, NoteEvent},
+        dispatch_jobs::JobRank,
         endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
         endpoint_state::{EndpointRun, RunPhase},
         job_offer::{JobCode, TaskRef},
@@ -26,7 +27,7 @@
             return;
         }
         let are_known = self.former_runs_are_known();
-        let mut order: Vec<((bool, ClockTime), JobCode)> = self
+        let mut order: Vec<(JobRank, JobCode)> = self
             .jobs
             .iter()
             .filter(|(_, it)| {
@@ -69,7 +70,7 @@
             let step = &job.offer.steps[task.task.step as usize];
             let mut usual_ms = self.ratios.usual_ms(&job.offer.route, step.declared_ms);
             if step.data_rack.as_ref().is_some_and(|it| *it != self.cell.rack) {
-                usual_ms *= 2;
+                usual_ms = usual_ms * self.off_rack_milli / 1000;
             }
             // A lone endpoint is all that there is, also after a failure.
             let avoid = task.avoid.as_ref().filter(|_| 1 < self.endpoints.len());
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -113,6 +113,8 @@
     pub number: u64,
     /// Whether the job may already have tasks at work in the cell.
     pub is_repeat: bool,
+    /// Whether the leader may send it back when other cells could end it sooner.
+    pub may_move: bool,
 }
 
 impl JobOffer {
@@ -156,8 +158,6 @@
     QueueFull,
     /// No leader of a fitting cell can be reached.
     NoLeader,
-    /// The process stops.
-    Stopping,
 }
 
 /// How a job ended.
@@ -169,6 +169,9 @@
     Failed,
     /// No task has started and none will; the time after which a retry makes sense, in ms.
     Refused(RefusalCause, u64),
+    /// No task has started and none will in this cell, where the job would wait too long to
+    /// end in time; the predicted wait, in ms.
+    Crowded(u64),
     /// The receiver does not lead the cell; runs that it has ordered may go on.
     NotLeader,
     /// What became of the job's tasks is not known to anyone who can answer.
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -12,6 +12,7 @@
     cell::{
         cell_message::{CellName, CellReport},
         job_offer::{JobCode, JobOffer},
+        run_forecast::QUICK_MILLI,
     },
     entry_node::CallNumber,
     prelude::*,
@@ -125,6 +126,37 @@
     best.map(|(cell, _)| cell.clone())
 }
 
+/// Chooses the cell to which a job moves that would wait `wait_ms` in its own, if it ends
+/// sooner there; off its data's rack its tasks take `off_rack_milli` thousandths of their time.
+pub fn choose_move(
+    job: &FrontJob,
+    off_rack_milli: u64,
+    wait_ms: u64,
+    views: &IndexMap<CellName, CellView>,
+    now: ClockTime,
+) -> Option<CellName> {
+    let chain_ms = job.offer.declared_chain_ms();
+    let others = || {
+        views.iter().filter(|(cell, view)| {
+            cell.service == job.offer.service
+                && job.cell.as_ref() != Some(*cell)
+                && now.since_ms(view.reported_at) <= REPORT_MS
+        })
+    };
+    let off_rack_milli = if job.offer.data_rack().is_some() { off_rack_milli } else { 1_000 };
+    let ends_sooner = |milli| chain_ms * milli / 1000 + FAR_COST_MS < wait_ms + chain_ms;
+    let has_quick = |view: &CellView| {
+        job.offer.first_cpu() <= view.report.quick_cpu.saturating_sub(view.offered_cpu)
+    };
+    let quick = others().filter(|(_, view)| has_quick(view));
+    if ends_sooner(off_rack_milli * QUICK_MILLI / 1000)
+        && let Some(cell) = draw_open(job, quick)
+    {
+        return Some(cell);
+    }
+    if ends_sooner(off_rack_milli) { draw_open(job, others()) } else { None }
+}
+
 /// Draws a cell that has room for the job at once, in proportion to its open room.
 fn draw_open<'a>(
     job: &FrontJob,
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -35,6 +35,7 @@
             .with("tasks", offer.steps.iter().map(|it| u64::from(it.count)).sum())
             .with("plan_version", self.plan.as_ref().map_or(0, |it| it.version));
         self.note(note);
+        let offer = JobOffer { may_move: true, ..offer };
         let job = FrontJob {
             call,
             read_at: now,
@@ -147,7 +148,10 @@
     ) {
         let Some(job) = self.router.jobs.get_mut(&code) else { return };
         let is_former = number < job.offer.number
-            && matches!(verdict, JobVerdict::Refused(..) | JobVerdict::NotLeader);
+            && matches!(
+                verdict,
+                JobVerdict::Refused(..) | JobVerdict::Crowded(_) | JobVerdict::NotLeader
+            );
         if job.cell.as_ref() != Some(cell) || is_former {
             return;
         }
@@ -167,12 +171,37 @@
                     return;
                 }
             }
+            JobVerdict::Crowded(wait_ms) => {
+                if job.leader.as_ref() == Some(from) {
+                    self.move_job(code, wait_ms, now);
+                }
+                return;
+            }
             JobVerdict::Completed | JobVerdict::Failed => {}
             JobVerdict::Refused(..) | JobVerdict::Unknown => return,
         }
         self.answer(code, verdict, now);
     }
 
+    /// Offers a job that its cell gave back to one that ends it sooner, or there again, to stay.
+    fn move_job(&mut self, code: JobCode, wait_ms: u64, now: ClockTime) {
+        let Some(job) = self.router.jobs.get_mut(&code) else { return };
+        job.was_offered = false;
+        job.leader = None;
+        job.adrift_since = now;
+        job.offer.may_move = false;
+        let off_rack_milli = self.settings.off_rack_milli;
+        let cell = job_router::choose_move(job, off_rack_milli, wait_ms, &self.views, now);
+        let outcome = if cell.is_some() { "moves" } else { "stays" };
+        if cell.is_some() {
+            job.cell = cell;
+        }
+        let subject = job.cell.as_ref().map(ToString::to_string).unwrap_or_default();
+        let note = DecisionNote::new(now, NoteEvent::JobSentBack, subject, outcome).about(code);
+        self.note(note.with("wait_ms", wait_ms));
+        self.route(code, now);
+    }
+
     /// Offers a refused job to another cell that has room at once; whether it did.
     pub(super) fn reroute(&mut self, code: JobCode, now: ClockTime) -> bool {
         let Some(job) = self.router.jobs.get_mut(&code) else { return false };
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -109,7 +109,8 @@
         self.n_cells_led += 1;
         let first_order = self.n_cells_led * ORDER_SPACE;
         let is_known = LEARNING_MS <= now.since_ms(self.started_at);
-        let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, is_known);
+        let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, is_known)
+            .with_off_rack_milli(self.settings.off_rack_milli);
         let records = self.cells().swap_remove(cell).unwrap_or_default();
         let note = DecisionNote::new(now, NoteEvent::CellClaimed, cell.to_string(), why);
         self.note(note.with("token", token).with("endpoints", records.len() as u64));
--- a/lib/src/cell/run_forecast.rs
+++ b/lib/src/cell/run_forecast.rs
@@ -11,6 +11,9 @@
 const FACTOR_BOUNDS: (u64, u64) = (100, 12_000);
 /// Time after which an endpoint's learned slowness is believed by half, in ms.
 const SLOWNESS_HALF_MS: u64 = 2_000;
+/// Factor up to which an endpoint counts as quick, in thousandths: a task off its rack may
+/// still end in time there.
+pub(crate) const QUICK_MILLI: u64 = 750;
 /// Factor above which an endpoint counts as slow for now, in thousandths.
 const SLOW_MILLI: u64 = 2_500;
 
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -64,9 +64,17 @@
         first_run: 0,
         number: code,
         is_repeat: false,
+        may_move: false,
     }
 }
 
+/// An offer whose tasks take four times as long.
+fn long_offer(code: u64, count: u32) -> JobOffer {
+    let mut offer = offer(code, count);
+    offer.steps[0].declared_ms = 400;
+    offer
+}
+
 fn task(code: u64, idx: u32) -> TaskRef {
     TaskRef { job: JobCode(code), step: 0, idx }
 }
@@ -480,6 +488,34 @@
     );
 }
 
+#[test]
+fn job_that_may_move_is_given_back_unstarted_when_it_would_be_late() {
+    let mut bench = Bench::new(&["a"]);
+    assert_eq!(bench.begin(long_offer(1, 2)).len(), 2);
+    bench.offer(JobOffer { may_move: true, ..offer(2, 2) });
+    let [(JobCode(2), 2, JobVerdict::Crowded(wait_ms))] = bench.verdicts[..] else {
+        panic!("not given back: {:?}", bench.verdicts);
+    };
+    assert!((300..=400).contains(&wait_ms), "{wait_ms}");
+    // It comes back, to stay.
+    bench.verdicts.clear();
+    bench.offer(JobOffer { number: 7, ..offer(2, 2) });
+    assert_eq!((bench.verdicts.len(), bench.starts().len()), (0, 0));
+}
+
+#[test]
+fn job_that_has_begun_goes_before_newer_ones() {
+    let mut bench = Bench::new(&["a"]);
+    assert_eq!(bench.begin(offer(1, 3)).len(), 2);
+    // By now the first job is late, and the second could still end in time.
+    bench.pass_ms(230);
+    bench.offer(offer(2, 1));
+    bench.answer_look("a", &[(task(1, 1), 1)], &[end(1, task(1, 0), 1, RunEnd::Done)]);
+    let starts = bench.starts();
+    assert_eq!(starts.len(), 1);
+    assert!(matches!(starts[0].body, OrderBody::Start { task: it, .. } if it == task(1, 2)));
+}
+
 #[test]
 fn burst_that_cannot_be_served_is_refused_on_arrival() {
     let mut bench = Bench::new(&["a"]);
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -29,6 +29,7 @@
         centre: DataCentre::from("munich"),
         weight: 250,
         controls: Vec::new(),
+        off_rack_milli: 2_000,
     };
     (vm, CellNode::new(settings, now))
 }
--- a/lib/tests/test_load_patterns.rs
+++ b/lib/tests/test_load_patterns.rs
@@ -25,6 +25,7 @@
         cpu: 100_000,
         free_cpu: open_cores * 1000,
         open_cpu: open_cores * 1000,
+        quick_cpu: 0,
         queued_work: 0,
     };
     let leader = VmName(format!("leader-{rack}"));
@@ -57,6 +58,7 @@
         first_run: 0,
         number: 0,
         is_repeat: false,
+        may_move: true,
     };
     FrontJob {
         call: CallNumber(code),
@@ -114,3 +116,24 @@
     let choice = job_router::choose_cell(&job(1, Some("r2")), &perth, &views, NOW);
     assert_eq!(choice.map(|it| it.rack), Some("r2".to_owned()));
 }
+
+/// The rack of a job's data is crowded; quick endpoints elsewhere make up for the distance.
+#[test]
+fn job_of_a_hot_rack_moves_to_open_quick_endpoints() {
+    let (slow, quick) = (view("slow", 90), view("quick", 40));
+    let mut views: IndexMap<_, _> = [view("hot", 0), slow, quick].into_iter().collect();
+    views[&cell("quick")].report.quick_cpu = 20_000;
+    let job = FrontJob { cell: Some(cell("hot")), ..job(1, Some("hot")) };
+    let choose = |wait_ms| job_router::choose_move(&job, 3_000, wait_ms, &views, NOW);
+    assert_eq!(choose(300), Some(cell("quick")));
+    // 200 ms of work take 450 ms on quick endpoints off the rack.
+    assert_eq!(choose(200), None);
+}
+
+/// Every cell is as crowded: moving would only add the distance.
+#[test]
+fn job_stays_where_no_cell_is_open() {
+    let views: IndexMap<_, _> = [view("hot", 0), view("full", 3)].into_iter().collect();
+    let job = FrontJob { cell: Some(cell("hot")), ..job(1, Some("hot")) };
+    assert_eq!(job_router::choose_move(&job, 3_000, 900, &views, NOW), None);
+}
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -313,6 +313,7 @@
                 first_run: 0,
                 number: 0,
                 is_repeat: false,
+                may_move: false,
             };
             let job = WorldJob {
                 offer,
@@ -495,6 +496,7 @@
             centre: DataCentre(format!("centre-{centre}")),
             weight: 250,
             controls: Vec::new(),
+            off_rack_milli: 2_000,
         };
         entry.node = Some(CellNode::new(settings, now));
         self.down.shift_remove(vm);
@@ -692,7 +694,9 @@
                 job.verdict = Some(verdict);
                 self.n_refused += 1;
             }
-            JobVerdict::Unknown | JobVerdict::NotLeader => self.resend(code),
+            JobVerdict::Unknown | JobVerdict::NotLeader | JobVerdict::Crowded(_) => {
+                self.resend(code)
+            }
         }
     }
 
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -97,6 +97,10 @@
     pub n_in_time: u64,
     /// Ended later, but within three times the objective.
     pub n_late: u64,
+    /// Ended later still.
+    pub n_useless: u64,
+    /// Given up by their callers.
+    pub n_given_up: u64,
     /// Refused with none of their tasks started.
     pub n_refused: u64,
     /// Sum over refused jobs of the time until they were told, in ms.
@@ -141,6 +145,8 @@
     pub outcomes: IndexMap<&'static str, KindOutcome>,
     /// Processor time of the entry's decisions, by what caused them.
     pub costs: IndexMap<&'static str, Duration>,
+    /// Decisions by event.
+    pub notes: IndexMap<&'static str, u64>,
     /// Starts that were ordered.
     pub n_starts: u64,
     plan: LoadPlan,
@@ -209,10 +215,12 @@
             centre: DataCentre::from("near"),
             weight: 100,
             controls: Vec::new(),
+            off_rack_milli: plan.off_rack_milli,
         };
         let mut world = LoadWorld {
             outcomes: IndexMap::new(),
             costs: IndexMap::new(),
+            notes: IndexMap::new(),
             n_starts: 0,
             plan: plan.clone(),
             node: CellNode::new(settings, now),
@@ -311,7 +319,9 @@
             }
             LoadEvent::Submit(kind) => self.submit(kind),
             LoadEvent::GiveUp(call) => {
-                if self.calls.swap_remove(&call).is_some() {
+                if let Some(code) = self.calls.swap_remove(&call) {
+                    let route = self.plan.kinds[self.jobs[&code].kind].route;
+                    self.outcomes.entry(route).or_default().n_given_up += 1;
                     self.act("withdraw", |node, now| node.withdraw(call, now));
                 }
             }
@@ -344,7 +354,8 @@
                     self.push(self.now.plus_ms(LINK_MS), LoadEvent::Order(order));
                 }
                 NodeEffect::Answer(call, verdict) => self.answer(call, &verdict),
-                NodeEffect::Send(..) | NodeEffect::Beat(..) | NodeEffect::Note(_) => {}
+                NodeEffect::Note(note) => *self.notes.entry(note.event.name()).or_default() += 1,
+                NodeEffect::Send(..) | NodeEffect::Beat(..) => {}
             }
         }
     }
@@ -400,6 +411,7 @@
             first_run: 0,
             number: 0,
             is_repeat: false,
+            may_move: false,
         };
         let objective_ms = work_ms * STRETCH_MILLI / 1000 + SLACK_MS;
         let read_at = self.now;
@@ -418,6 +430,7 @@
         match verdict {
             JobVerdict::Completed if took_ms <= job.objective_ms => outcome.n_in_time += 1,
             JobVerdict::Completed if took_ms <= 3 * job.objective_ms => outcome.n_late += 1,
+            JobVerdict::Completed => outcome.n_useless += 1,
             JobVerdict::Refused(..) => {
                 outcome.n_refused += 1;
                 outcome.refused_after_ms += took_ms;
--- /dev/null
+++ b/testutils/tests/test_load_patterns.rs
@@ -0,0 +1,38 @@
+//! Load patterns of heavy days, played on one entry in virtual time.
+
+use yuccamux_testutils::load_world::{LoadKind, LoadPlan, LoadWorld};
+
+/// Four racks of eight endpoints with two places each; a third of the endpoints is quick.
+fn plan(kinds: Vec<LoadKind>) -> LoadPlan {
+    LoadPlan {
+        n_racks: 4,
+        n_endpoints: 8,
+        cpu: 72_000,
+        factors_milli: vec![600, 1_000, 1_600],
+        off_rack_milli: 3_000,
+        n_peers: 0,
+        span_ms: 12_000,
+        kinds,
+    }
+}
+
+/// All short jobs have their data in one rack, which can end three quarters of them; the
+/// others fit on the free endpoints, at three times the work.
+#[test]
+fn hot_rack_overflows_to_free_endpoints() {
+    let short = LoadKind {
+        route: "short",
+        per_s: 40.0,
+        n_tasks: 8,
+        work_ms: 60,
+        cpu: 30_000,
+        priority: 0,
+        racks: vec![0],
+    };
+    let mut world = LoadWorld::new(7, &plan(vec![short]));
+    world.run();
+    let short = world.outcomes["short"];
+    assert!(800 <= short.served_milli(), "{short:?}");
+    // What has begun is not left to starve behind newer jobs.
+    assert_eq!(short.n_given_up, 0, "{short:?}");
+}
