--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -3,8 +3,8 @@
 //! A process keeps one connection to each other VM for what it sends and accepts one
 //! from each for what it receives. Messages to a VM stay in order while its connection
 //! lives; a broken connection loses what was on its way, which every protocol above
-//! tolerates. A connection whose bytes are not acknowledged is given up, as one can go
-//! silent without a reset. Frames are postcard with a length and a keyed hash.
+//! tolerates. A connection is given up when its bytes, or its frames, are not acknowledged, as
+//! one can go silent without a reset. Frames are postcard with a length and a keyed hash.
 
 use std::{
     io,
@@ -21,10 +21,9 @@
 use serde::{Serialize, de::DeserializeOwned};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    io::AsyncReadExt,
     net::{TcpListener, TcpStream, UdpSocket},
     sync::mpsc,
-    time,
+    time::{self, Instant},
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 use yuccamux::{
@@ -45,6 +44,9 @@
 const CONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// Time without an acknowledgement after which a connection is given up.
 const SILENT_TIME: Duration = Duration::from_millis(900);
+/// Time after which frames that have come are acknowledged: a few times within the one after
+/// which a connection is given up.
+const ACK_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between probes of an idle connection.
 const PROBE_PAUSE: Duration = Duration::from_secs(1);
 /// Largest datagram, in bytes.
@@ -305,29 +307,52 @@
     }
 }
 
+/// Writes frames until the connection breaks, or until what was written is not acknowledged.
+///
+/// The receiver itself acknowledges, as something on the way may take bytes and not deliver
+/// them.
 async fn write_frames(
     stream: TcpStream,
     first: Bytes,
     waiting: &mut mpsc::Receiver<Bytes>,
 ) -> std::io::Result<()> {
-    let (mut reader, writer) = stream.into_split();
+    let (reader, writer) = stream.into_split();
+    let mut acks = FramedRead::new(reader, frame_codec());
     let mut sink = FramedWrite::new(writer, frame_codec());
+    let mut n_sent: u64 = 1;
     sink.feed(first).await?;
-    let mut nothing = [0; 1];
+    let mut silent_at = None;
     loop {
         while let Ok(frame) = waiting.try_recv() {
+            n_sent += 1;
             sink.feed(frame).await?;
         }
         SinkExt::<Bytes>::flush(&mut sink).await?;
-        // The other side never writes here: a read ends when the connection does.
-        let frame = tokio::select! {
-            frame = waiting.recv() => frame,
-            ended = reader.read(&mut nothing) => {
-                return Err(ended.err().unwrap_or_else(|| io::ErrorKind::ConnectionReset.into()));
+        silent_at.get_or_insert_with(|| Instant::now() + SILENT_TIME);
+        loop {
+            tokio::select! {
+                frame = waiting.recv() => {
+                    let Some(frame) = frame else { return Ok(()) };
+                    n_sent += 1;
+                    sink.feed(frame).await?;
+                    break;
+                }
+                ack = acks.next() => {
+                    let Some(ack) = ack else { return Err(io::ErrorKind::ConnectionReset.into()) };
+                    let is_all = ack?[..] == n_sent.to_be_bytes();
+                    silent_at = (!is_all).then(|| Instant::now() + SILENT_TIME);
+                }
+                () = sleep_until(silent_at) => return Err(io::ErrorKind::TimedOut.into()),
             }
-        };
-        let Some(frame) = frame else { return Ok(()) };
-        sink.feed(frame).await?;
+        }
+    }
+}
+
+/// Sleeps until a time, or for ever.
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => time::sleep_until(at).await,
+        None => std::future::pending().await,
     }
 }
 
@@ -347,9 +372,27 @@
 }
 
 async fn read_frames(stream: TcpStream, link: PeerLink, inbox: mpsc::UnboundedSender<PeerInput>) {
-    let mut frames = FramedRead::new(stream, frame_codec());
+    let (reader, writer) = stream.into_split();
+    let mut frames = FramedRead::new(reader, frame_codec());
+    let mut acks = FramedWrite::new(writer, frame_codec());
     let mut sender = None;
-    while let Some(Ok(sealed)) = frames.next().await {
+    let mut n_received: u64 = 0;
+    let mut ack_at = None;
+    loop {
+        let next = tokio::select! {
+            next = frames.next() => next,
+            () = sleep_until(ack_at) => {
+                ack_at = None;
+                let ack = Bytes::copy_from_slice(&n_received.to_be_bytes());
+                if acks.send(ack).await.is_err() {
+                    break;
+                }
+                continue;
+            }
+        };
+        let Some(Ok(sealed)) = next else { break };
+        n_received += 1;
+        ack_at.get_or_insert_with(|| Instant::now() + ACK_PAUSE);
         let Some((from, message)) = link.open(&sealed) else { continue };
         if sender.is_none() {
             sender = Some(VmName::clone(&from));
