lib: an entry settles after the last VM that it hears anew; endpoints are found by address

Change: an entry that joins claims once it has heard no new VM for 400 ms, after 2 s in any case. The directory finds what is at an address by a map. A test of an entry that hears the others late claimed 6 of 6 cells before. The load world draws uneven tasks and lets callers wait for four objectives.

--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -128,6 +128,8 @@
     pub(super) started_at: ClockTime,
     /// When it began to hear others, after a start or after it heard nobody.
     pub(super) joined_at: Option<ClockTime>,
+    /// When it last heard a VM anew.
+    pub(super) found_at: ClockTime,
     pub(super) highest_token: u64,
     pub(super) n_cells_led: u64,
     pub(super) n_offers: u64,
@@ -155,6 +157,7 @@
             ceded_at: now,
             started_at: now,
             joined_at: None,
+            found_at: now,
             highest_token: 0,
             n_cells_led: 0,
             n_offers: 0,
--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -76,6 +76,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
     entries: IndexMap<EndpointName, DirectoryEntry>,
+    /// Endpoint that was last born at each address.
+    names_by_address: IndexMap<String, EndpointName>,
 }
 
 impl EndpointDirectory {
@@ -105,11 +107,9 @@
         is_first_hand: bool,
         now: ClockTime,
     ) -> DirectoryChange {
-        let usurped = self.entries.values().any(|it| {
-            it.record.address == record.address
-                && it.record.name != record.name
-                && record.born < it.record.born
-        });
+        let at_address = self.at_address(&record.address);
+        let usurped = at_address
+            .is_some_and(|it| it.record.name != record.name && record.born < it.record.born);
         if usurped {
             return DirectoryChange::Same;
         }
@@ -133,18 +133,30 @@
                 }
             }
         }
-        self.end_others_at(&record);
+        self.take_address(&record);
         let entry = DirectoryEntry { gone: false, heard_at: now, told_at, is_first_hand, record };
         self.entries.insert(entry.record.name.clone(), entry);
         change
     }
 
-    fn end_others_at(&mut self, record: &EndpointRecord) {
-        for (name, entry) in &mut self.entries {
-            if *name != record.name && entry.record.address == record.address {
-                entry.gone = true;
-            }
+    fn at_address(&self, address: &str) -> Option<&DirectoryEntry> {
+        let entry = self.entries.get(self.names_by_address.get(address)?)?;
+        (entry.record.address == address).then_some(entry)
+    }
+
+    /// Ends the life of another endpoint at the address of one that is newer.
+    fn take_address(&mut self, record: &EndpointRecord) {
+        let former = self.names_by_address.get(&record.address);
+        if former == Some(&record.name) {
+            return;
+        }
+        if let Some(former) = former.cloned()
+            && let Some(entry) = self.entries.get_mut(&former)
+            && entry.record.address == record.address
+        {
+            entry.gone = true;
         }
+        self.names_by_address.insert(record.address.clone(), record.name.clone());
     }
 
     /// Takes word that an endpoint's present life is over.
@@ -196,6 +208,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         self.entries.retain(|_, it| !is_old(it));
+        self.names_by_address.retain(|_, name| self.entries.contains_key(name));
         old
     }
 }
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -16,9 +16,11 @@
 /// election of the control group and a push.
 const PLANLESS_MS: u64 = 1_500;
 
-/// Time from the first beat that an entry hears until it claims cells that seem to have no
-/// leader, in ms: three beats of each VM that it then learns of.
+/// Time without a newly heard VM after which an entry that joins claims cells that seem to have
+/// no leader, in ms: three beats of each VM that it learns of.
 const SETTLE_MS: u64 = 400;
+/// Time after which it claims them in any case, in ms: others may come one after the other.
+const MAX_SETTLE_MS: u64 = 2_000;
 
 /// Silence of a whole data centre after which others lead its cells, in ms.
 const FAR_CLAIM_MS: u64 = 1_500;
@@ -70,7 +72,9 @@
 
     /// Claims the cells that fall to this entry.
     pub(super) fn claim_cells(&mut self, now: ClockTime) {
-        let has_settled = self.joined_at.is_some_and(|it| SETTLE_MS <= now.since_ms(it));
+        let has_settled = self.joined_at.is_some_and(|it| {
+            SETTLE_MS <= now.since_ms(self.found_at) || MAX_SETTLE_MS <= now.since_ms(it)
+        });
         let may_claim = self.resumes_at <= now && !self.is_isolated(now) && has_settled;
         if self.stopping || self.plan.is_none() || !may_claim {
             return;
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -161,6 +161,7 @@
             self.lose_peer(from, "another life", now);
         }
         if was_lost || is_new_life {
+            self.found_at = now;
             let note = DecisionNote::new(now, NoteEvent::PeerFound, from.as_str(), "heard");
             self.note(note.with("plan_version", beat.plan_version));
         }
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -64,6 +64,22 @@
     CellName { service, centre: DataCentre::from("munich"), rack }
 }
 
+/// A beat of a VM that leads nothing.
+fn beat_of(name: &str, role: VmRole, members: Vec<VmName>, now: ClockTime) -> PeerBeat {
+    PeerBeat {
+        owner: OwnerId { vm: VmName::from(name), incarnation: 1 },
+        sent_at: now,
+        role,
+        centre: DataCentre::from("munich"),
+        weight: if role == VmRole::Entry { 250 } else { 0 },
+        plan_version: 1,
+        stopping: false,
+        members,
+        group: ControlGroup::default(),
+        cells: Vec::new(),
+    }
+}
+
 /// Delivers the beats that the nodes send.
 fn exchange(nodes: &mut IndexMap<VmName, CellNode>, now: ClockTime) {
     let mut beats = Vec::new();
@@ -117,18 +133,7 @@
     let control = VmName::from("control");
     let records: Vec<(EndpointRecord, bool)> = (0..6).map(|it| (record(it), false)).collect();
     let members = nodes.keys().cloned().collect();
-    let beat = PeerBeat {
-        owner: OwnerId { vm: control.clone(), incarnation: 1 },
-        sent_at: START,
-        role: VmRole::Control,
-        centre: DataCentre::from("munich"),
-        weight: 0,
-        plan_version: 1,
-        stopping: false,
-        members,
-        group: ControlGroup::default(),
-        cells: Vec::new(),
-    };
+    let beat = beat_of("control", VmRole::Control, members, START);
     let plan = RoutePlan { version: 1, ..RoutePlan::default() };
     let learn = |node: &mut CellNode, now| {
         node.receive_beat(&control, beat.clone(), now);
@@ -155,6 +160,41 @@
     }
 }
 
+#[test]
+fn entry_that_hears_the_others_late_claims_only_its_share() {
+    let (_, mut node) = node("slow");
+    let control = VmName::from("control");
+    let records: Vec<(EndpointRecord, bool)> = (0..6).map(|it| (record(it), false)).collect();
+    let mut now = START.plus_ms(20);
+    let hear = |node: &mut CellNode, name: &str, role, now| {
+        node.receive_beat(&VmName::from(name), beat_of(name, role, Vec::new(), now), now);
+        node.tick(now);
+    };
+    // It is short of processor time: the beats of the entries wait behind other input.
+    hear(&mut node, "control", VmRole::Control, now);
+    now = now.plus_ms(370);
+    hear(&mut node, "control-2", VmRole::Control, now);
+    node.receive(&control, CellMessage::Endpoints(records), now);
+    now = now.plus_ms(110);
+    hear(&mut node, "control", VmRole::Control, now);
+    node.receive(
+        &control,
+        CellMessage::Plan(RoutePlan { version: 1, ..RoutePlan::default() }),
+        now,
+    );
+    now = now.plus_ms(110);
+    for _ in 0..50 {
+        for (name, role) in
+            [("control", VmRole::Control), ("other", VmRole::Entry), ("third", VmRole::Entry)]
+        {
+            hear(&mut node, name, role, now);
+        }
+        assert!(node.n_led() <= 2, "it claims {} of 6 cells", node.n_led());
+        now = now.plus_ms(20);
+    }
+    assert_eq!(node.n_led(), 2);
+}
+
 #[test]
 fn leader_that_is_heard_keeps_its_cell() {
     let cells = [cell("r1"), cell("r2")];
--- a/testutils/src/bin/cell_load.rs
+++ b/testutils/src/bin/cell_load.rs
@@ -42,7 +42,7 @@
     let plan = LoadPlan {
         n_racks: args.racks,
         n_endpoints: args.endpoints,
-        cpu: 72_000,
+        cpu: 64_000,
         factors_milli: vec![600, 1_000, 1_600],
         off_rack_milli: 3_000,
         n_peers: args.peers,
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -40,13 +40,16 @@
 const NEWS_MS: u64 = 4_000;
 /// Time between beats of a peer, in ms.
 const BEAT_MS: u64 = 120;
-/// Time for which a caller waits, in ms.
+/// Time for which a caller waits at least, in ms; it waits four times its objective.
 const PATIENCE_MS: u64 = 1_500;
 /// Stretch and slack of the latency objective.
 const STRETCH_MILLI: u64 = 1_600;
 const SLACK_MS: u64 = 60;
 /// Spread of real run times and of declared ones, in thousandths either way.
-const WORK_SPREAD_MILLI: u64 = 150;
+const WORK_SPREAD_MILLI: u64 = 400;
+
+/// Spread of the tasks of a job, in thousandths either way.
+const UNEVEN_MILLI: u64 = 250;
 
 /// Jobs that are alike.
 #[derive(Clone, Debug)]
@@ -414,11 +417,13 @@
             may_move: false,
         };
         let objective_ms = work_ms * STRETCH_MILLI / 1000 + SLACK_MS;
+        let patience_ms = PATIENCE_MS.max(4 * objective_ms);
+        let offer = JobOffer { remaining_ms: patience_ms, ..offer };
         let read_at = self.now;
         self.jobs.insert(code, LoadJob { kind, work_ms, rack, objective_ms, read_at, need });
         self.outcomes.entry(load.route).or_default().n_jobs += 1;
         self.calls.insert(call, code);
-        self.push(self.now.plus_ms(PATIENCE_MS), LoadEvent::GiveUp(call));
+        self.push(self.now.plus_ms(patience_ms), LoadEvent::GiveUp(call));
         self.act("submit", |node, now| node.submit(call, offer, now));
     }
 
@@ -465,7 +470,9 @@
             self.runners.get(&order.endpoint).is_some_and(|runner| runner.record.rack != *it)
         });
         let factor_milli = if is_off { self.plan.off_rack_milli } else { 1000 };
-        (job.need, job.work_ms * factor_milli / 1000)
+        let draw = (task.job.0 * 31 + u64::from(task.idx)) * 7_919 % (2 * UNEVEN_MILLI);
+        let uneven_milli = 1000 - UNEVEN_MILLI + draw;
+        (job.need, job.work_ms * factor_milli / 1000 * uneven_milli / 1000)
     }
 
     fn tick_runners(&mut self) {
