--- a/lib/src/cell/cell_placement.rs
+++ b/lib/src/cell/cell_placement.rs
@@ -16,9 +16,6 @@
 
 /// Time that a predicted end is kept before the due time, in ms: the way of the answer.
 const DUE_MARGIN_MS: u64 = 15;
-/// Predicted run time is stretched by this much where an end in time is asked for, in
-/// thousandths: tasks of a job differ by a sixth, and the last one decides.
-const UNEVEN_MILLI: u64 = 1_200;
 /// Leftover room counts this much against another endpoint of like speed, in ms for each
 /// core: it decides only between near equals.
 const LEFTOVER_MS: u64 = 1;
@@ -87,8 +84,7 @@
         if soonest.is_none_or(|(known, ..)| end_ms < known) {
             soonest = Some((end_ms, name, predicted_ms));
         }
-        let is_in_time =
-            now.plus_ms(predicted_ms * UNEVEN_MILLI / 1000 + DUE_MARGIN_MS) <= ask.due_at;
+        let is_in_time = now.plus_ms(predicted_ms + DUE_MARGIN_MS) <= ask.due_at;
         let rank = (predicted_ms, u64::MAX - left);
         if is_in_time && in_time.is_none_or(|(ms, full, ..)| (ms, full) < rank) {
             in_time = Some((rank.0, rank.1, name, predicted_ms));
