lib: crowded jobs also move to shorter queues, refused ones to kept room; cells are claimed before the routes come

After a restart of all VMs cells had no leader until the control group had elected one and told the routes. Change: before a caller is refused, one more cell with free room is asked, kept or not. A job that is given back moves to a queue that is shorter by more than the distance costs, if no cell is open.

--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -81,6 +81,12 @@
         self.report.open_cpu.saturating_sub(self.offered_cpu)
     }
 
+    /// Whether a job could start there at once, also on room that is kept.
+    pub fn has_free_room(&self, offer: &JobOffer) -> bool {
+        let free = self.report.free_cpu.saturating_sub(self.offered_cpu);
+        offer.first_cpu() <= free && self.report.queued_work == 0
+    }
+
     /// Whether a job without a rack could start there at once.
     pub fn has_room(&self, offer: &JobOffer) -> bool {
         offer.first_cpu() <= self.open_cpu() && self.report.queued_work == 0
@@ -119,9 +125,7 @@
     }
     let best = usable().min_by_key(|(cell, view)| {
         let far_ms = if cell.centre == *centre { 0 } else { FAR_COST_MS };
-        let wait_ms = expected_wait(job, view) + far_ms;
-        // A spread of half keeps the entries from all choosing the shortest queue.
-        wait_ms * (1000 + draw_milli(job, cell) / 2)
+        spread_wait(job, cell, view) + far_ms
     });
     best.map(|(cell, _)| cell.clone())
 }
@@ -154,7 +158,31 @@
     {
         return Some(cell);
     }
-    if ends_sooner(off_rack_milli) { draw_open(job, others()) } else { None }
+    if ends_sooner(off_rack_milli)
+        && let Some(cell) = draw_open(job, others())
+    {
+        return Some(cell);
+    }
+    // Queues differ, as entries choose by reports of different age.
+    let waits = others().map(|(cell, view)| (spread_wait(job, cell, view), cell));
+    let (other_wait_ms, cell) = waits.min_by_key(|(wait_ms, _)| *wait_ms)?;
+    let is_near = chain_ms * off_rack_milli / 1000 + other_wait_ms < chain_ms + wait_ms;
+    is_near.then(|| cell.clone())
+}
+
+/// Draws a cell with free room, kept or not, for a job that would otherwise be refused.
+pub fn choose_refuge(
+    job: &FrontJob,
+    views: &IndexMap<CellName, CellView>,
+    now: ClockTime,
+) -> Option<CellName> {
+    let usable = views.iter().filter(|(cell, view)| {
+        cell.service == job.offer.service
+            && !job.refused_by.contains(cell)
+            && now.since_ms(view.reported_at) <= REPORT_MS
+            && view.has_free_room(&job.offer)
+    });
+    usable.min_by_key(|(cell, _)| draw_milli(job, cell)).map(|(cell, _)| cell.clone())
 }
 
 /// Draws a cell that has room for the job at once, in proportion to its open room.
@@ -181,6 +209,12 @@
     hasher.finish() % 1000
 }
 
+/// Expected wait in a cell, in ms, with a spread of half that keeps the entries from all
+/// choosing the shortest queue.
+fn spread_wait(job: &FrontJob, cell: &CellName, view: &CellView) -> u64 {
+    expected_wait(job, view) * (1000 + draw_milli(job, cell) / 2) / 1000
+}
+
 /// Expected wait in a cell, in ms.
 fn expected_wait(job: &FrontJob, view: &CellView) -> u64 {
     let report = &view.report;
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -205,14 +205,8 @@
     /// Offers a refused job to another cell that has room at once; whether it did.
     pub(super) fn reroute(&mut self, code: JobCode, now: ClockTime) -> bool {
         let Some(job) = self.router.jobs.get_mut(&code) else { return false };
-        let centre = &self.settings.centre;
-        let Some(cell) = job_router::choose_cell(job, centre, &self.views, now) else {
-            return false;
-        };
-        let Some(view) = self.views.get(&cell) else { return false };
-        if !view.has_room(&job.offer) {
-            return false;
-        }
+        let Some(cell) = job_router::choose_refuge(job, &self.views, now) else { return false };
+        job.offer.may_move = false;
         job.cell = Some(cell);
         job.leader = None;
         self.route(code, now);
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -76,7 +76,9 @@
             SETTLE_MS <= now.since_ms(self.found_at) || MAX_SETTLE_MS <= now.since_ms(it)
         });
         let may_claim = self.resumes_at <= now && !self.is_isolated(now) && has_settled;
-        if self.stopping || self.plan.is_none() || !may_claim {
+        // A leader needs no routes: offers carry what it must know.
+        let has_routes = self.plan.is_some() || now.since_ms(self.started_at) < PLANLESS_MS;
+        if self.stopping || !has_routes || !may_claim {
             return;
         }
         let cells = self.cells();
