lib: a replica that restarts stands for election sooner

Cause: after the loss of all VMs the control group had a leader 0.66 s after the start at an election time of 0.5 s: each replica waits a whole election time for a leader that no longer is. Ruled out: a lower election time (it also bounds how soon a leader that is slow for a moment is replaced). Change: the first wait after a start is a quarter to three quarters of the election time. A leader that lives is heard well within it, and pre-votes keep a replica that restarts from unseating it (tested).

--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -196,7 +196,11 @@
             effects,
             rng,
         };
-        node.reset_election(now);
+        // A leader that lives is heard well within this time; after a restart of all there is
+        // none to wait for.
+        let span_ms = node.settings.election_ms;
+        let jitter_ms = node.rng.random_range(0..(span_ms / 2).max(1));
+        node.election_at = now.plus_ms(span_ms / 4 + jitter_ms);
         node
     }
 
--- a/lib/tests/test_replica_log.rs
+++ b/lib/tests/test_replica_log.rs
@@ -284,6 +284,38 @@
     }
 }
 
+#[test]
+fn group_that_restarts_whole_mostly_has_a_leader_within_an_election_time() {
+    let mut group = Group::new(5, FoundingRule::All);
+    group.take(&Op::Run { steps: 200, drop_every: u64::MAX });
+    let mut n_led = 0;
+    for round in 0..20 {
+        (0..5).for_each(|idx| group.restart(idx));
+        // A few steps more, so that the times drawn differ from round to round.
+        let steps = ELECTION_MS / STEP_MS + round % 3;
+        group.take(&Op::Run { steps, drop_every: u64::MAX });
+        n_led += usize::from(group.nodes.iter().any(|it| it.role() == ReplicaRole::Leader));
+    }
+    // Where votes are split, the next try comes an election time later.
+    assert!(10 <= n_led, "{n_led} of 20 restarts");
+}
+
+#[test]
+fn replica_that_restarts_does_not_unseat_the_leader() {
+    let mut group = Group::new(3, FoundingRule::All);
+    group.take(&Op::Run { steps: 200, drop_every: u64::MAX });
+    let leader = group.nodes.iter().position(|it| it.role() == ReplicaRole::Leader).unwrap();
+    let term = group.nodes[leader].term();
+    for _ in 0..20 {
+        group.restart((leader + 1) % 3);
+        group.take(&Op::Run { steps: 60, drop_every: u64::MAX });
+        assert_eq!(
+            (group.nodes[leader].role(), group.nodes[leader].term()),
+            (ReplicaRole::Leader, term)
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(config())]
 
