lib: endpoints are kept while no control VM is heard; one place for orders, less that stands twice

The test kept 0 of 6 before. Change: while no control VM is heard nothing is forgotten. Orders are put together in one place, lapsed runs end like others, a beat's delay is worked out once, unused accessors are gone.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -11,7 +11,7 @@
     cell::{
         cell_message::{CellName, CellReport},
         decision_note::DecisionNote,
-        endpoint_order::EndpointOrder,
+        endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
         endpoint_state::EndpointState,
         home_load::HomeLoad,
         job_offer::{JobCode, JobOffer, JobVerdict, TaskRef},
@@ -25,7 +25,7 @@
 pub(super) const LEASE_MS: u64 = 800;
 /// Time for an order's answer beyond its wait, in ms: many times a round trip, and short
 /// enough to ask again within the lease.
-pub(super) const ORDER_TIME_MS: u64 = 200;
+const ORDER_TIME_MS: u64 = 200;
 /// Time added before a run counts as stalled, in ms: the spread of short runs.
 pub(super) const STALL_SLACK_MS: u64 = 150;
 
@@ -253,6 +253,29 @@
         offer.data_rack() == Some(&self.cell.rack)
     }
 
+    /// Sends an order to an endpoint; its number.
+    pub(super) fn send_order(
+        &mut self,
+        name: &EndpointName,
+        lease_until: Option<u64>,
+        wait_ms: u64,
+        body: OrderBody,
+    ) -> Option<OrderNumber> {
+        let address = self.endpoints.get(name)?.record.address.clone();
+        self.next_order += 1;
+        let number = OrderNumber(self.next_order);
+        self.effects.push(CellEffect::Order(EndpointOrder {
+            number,
+            endpoint: name.clone(),
+            address,
+            token: self.token,
+            lease_until,
+            time_limit_ms: wait_ms + ORDER_TIME_MS,
+            body,
+        }));
+        Some(number)
+    }
+
     pub(super) fn note(&mut self, note: DecisionNote) {
         self.effects.push(CellEffect::Note(note));
     }
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -44,6 +44,8 @@
 const ADRIFT_MS: u64 = 1_200;
 /// Silence after which an endpoint is forgotten, in ms: control VMs repeat each four seconds.
 const ENDPOINT_EXPIRY_MS: u64 = 20_000;
+/// Silence of all control VMs after which entries bring each other up to date, in ms.
+const CONTROL_SILENT_MS: u64 = 1_000;
 /// Time without a tick after which an entry has stood still and others count it as lost, in
 /// ms: it then leads nothing any more.
 const STALL_MS: u64 = SILENT_MS - 100;
@@ -226,6 +228,13 @@
         is_alone && SILENT_MS < now.since_ms(self.started_at)
     }
 
+    /// Whether no control VM is heard, so that nobody tells of endpoints and routes.
+    pub(super) fn is_control_silent(&self, now: ClockTime) -> bool {
+        !self.peers.values().any(|it| {
+            it.beat.role == VmRole::Control && now.since_ms(it.heard_at) < CONTROL_SILENT_MS
+        })
+    }
+
     pub(super) fn note(&mut self, note: DecisionNote) {
         self.effects.push(NodeEffect::Note(note));
     }
@@ -275,6 +284,9 @@
         self.tick_jobs(now);
         if self.beat_at <= now {
             self.beat_at = now.plus_ms(BEAT_MS);
+            if self.is_control_silent(now) {
+                self.directory.hold(now);
+            }
             if !self.directory.expire(ENDPOINT_EXPIRY_MS, now).is_empty() {
                 self.spread_endpoints(now);
             }
--- a/lib/src/cell/cell_placement.rs
+++ b/lib/src/cell/cell_placement.rs
@@ -4,7 +4,7 @@
 //! ones to tasks with less slack. When none does, it goes where it ends first; that may be
 //! an endpoint whose room is about to become free, and then the task waits for it.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     cell::{
@@ -51,7 +51,7 @@
 pub(crate) fn choose_endpoint(
     ask: &PlacementAsk<'_>,
     endpoints: &IndexMap<EndpointName, EndpointState>,
-    promised: &IndexMap<EndpointName, u32>,
+    promised: &IndexSet<EndpointName>,
     now: ClockTime,
 ) -> PlacementChoice {
     // Of those that end it in time: the slowest, then the fullest.
@@ -65,7 +65,7 @@
         let predicted_ms = (ask.usual_ms * endpoint.pace.factor_milli(now) / 1000).max(1);
         let free = endpoint.free_room();
         if !free.fits(&ask.step.need) {
-            if !promised.contains_key(name)
+            if !promised.contains(name)
                 && let Some(wait_ms) = endpoint.room_in_ms(&ask.step.need, now)
             {
                 let end_ms = wait_ms + predicted_ms;
--- a/lib/src/cell/control_desk.rs
+++ b/lib/src/cell/control_desk.rs
@@ -40,11 +40,6 @@
         ControlDesk { owner, centre, directory, peers: IndexMap::new() }
     }
 
-    /// Endpoints as announced.
-    pub fn directory(&self) -> &EndpointDirectory {
-        &self.directory
-    }
-
     /// Takes an announcement of an endpoint.
     pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> DirectoryChange {
         self.directory.announce(record, now)
--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, CellEffect, LEASE_MS, ORDER_TIME_MS, STALL_SLACK_MS},
+        cell_dispatcher::{CellDispatcher, LEASE_MS, STALL_SLACK_MS},
         dispatch_jobs::JobRank,
         endpoint_directory::EndpointRecord,
-        endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
+        endpoint_order::OrderBody,
         endpoint_state::{EndpointState, PendingLook, RunPhase},
         job_offer::JobCode,
     },
@@ -63,7 +63,7 @@
         self.pass(now);
     }
 
-    /// The endpoint's runs are over, as it is gone.
+    /// The endpoint's runs are over, on this proof.
     pub(super) fn end_runs(&mut self, name: &EndpointName, proof: &str, now: ClockTime) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let runs = std::mem::take(&mut endpoint.runs);
@@ -100,19 +100,10 @@
         // An endpoint that does not answer must be left to let its runs lapse.
         let renews = !is_claim && !is_idle && endpoint.n_silent == 0 && !self.is_fenced;
         let lease_until = if renews { endpoint.extend_lease(LEASE_MS, now) } else { None };
-        self.next_order += 1;
-        let number = OrderNumber(self.next_order);
-        endpoint.look = Some(PendingLook { number, sent_at: now });
-        let order = EndpointOrder {
-            number,
-            endpoint: name.clone(),
-            address: endpoint.record.address.clone(),
-            token: self.token,
-            lease_until,
-            time_limit_ms: wait_ms + ORDER_TIME_MS,
-            body: OrderBody::Look { cursor: endpoint.cursor, wait_ms },
-        };
-        self.effects.push(CellEffect::Order(order));
+        let body = OrderBody::Look { cursor: endpoint.cursor, wait_ms };
+        let name = name.clone();
+        let number = self.send_order(&name, lease_until, wait_ms, body);
+        self.endpoints[idx].look = number.map(|number| PendingLook { number, sent_at: now });
     }
 
     /// Lets time pass.
@@ -133,10 +124,7 @@
         let Some((name, endpoint)) = self.endpoints.get_index(idx) else { return };
         let name = name.clone();
         if 0 < endpoint.n_silent && !endpoint.runs.is_empty() && endpoint.lease_is_over(now) {
-            let runs = std::mem::take(&mut self.endpoints[idx].runs);
-            for (task, run) in runs {
-                self.requeue(task, run.run, &name, "lease ran out", now);
-            }
+            self.end_runs(&name, "lease ran out", now);
             return;
         }
         let mut over = Vec::new();
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -2,12 +2,12 @@
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, CellEffect, ORDER_TIME_MS, STALL_SLACK_MS, TaskPhase},
+        cell_dispatcher::{CellDispatcher, CellEffect, STALL_SLACK_MS, TaskPhase},
         decision_note::{DecisionNote, NoteEvent},
         endpoint_directory::EndpointRecord,
         endpoint_order::{
-            EndpointOrder, ListedEnd, ListedRun, OrderBody, OrderNumber, OrderOutcome,
-            OrderRefusal, RunEnd, RunLists,
+            EndpointOrder, ListedEnd, ListedRun, OrderBody, OrderOutcome, OrderRefusal, RunEnd,
+            RunLists,
         },
         endpoint_state::{EndpointRun, PendingLook, RunPhase},
         job_offer::{JobVerdict, ResourceRoom, TaskRef},
@@ -498,16 +498,7 @@
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let Some(run) = endpoint.runs.get_mut(&task) else { return };
         run.sent_at = now;
-        self.next_order += 1;
-        let order = EndpointOrder {
-            number: OrderNumber(self.next_order),
-            endpoint: name.clone(),
-            address: endpoint.record.address.clone(),
-            token: self.token,
-            lease_until: None,
-            time_limit_ms: ORDER_TIME_MS,
-            body: OrderBody::Stop { task, run: run.run },
-        };
-        self.effects.push(CellEffect::Order(order));
+        let body = OrderBody::Stop { task, run: run.run };
+        self.send_order(name, None, 0, body);
     }
 }
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -1,14 +1,14 @@
 //! Placement passes, starts, and tasks that go back into the queue on proof.
 
-use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, CellEffect, LEASE_MS, ORDER_TIME_MS, TaskPhase},
+        cell_dispatcher::{CellDispatcher, LEASE_MS, TaskPhase},
         cell_placement::{self, PlacementAsk, PlacementChoice},
         decision_note::{DecisionNote, NoteEvent},
         dispatch_jobs::JobRank,
-        endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
+        endpoint_order::OrderBody,
         endpoint_state::{EndpointRun, RunPhase},
         job_offer::{JobCode, TaskRef},
     },
@@ -40,7 +40,7 @@
             return;
         }
         order.sort_unstable();
-        let mut promised = IndexMap::new();
+        let mut promised = IndexSet::new();
         for (_, code) in order {
             self.place_job(code, &mut promised, now);
         }
@@ -54,7 +54,7 @@
     pub(super) fn place_job(
         &mut self,
         code: JobCode,
-        promised: &mut IndexMap<EndpointName, u32>,
+        promised: &mut IndexSet<EndpointName>,
         now: ClockTime,
     ) {
         let Some(job) = self.jobs.get(&code) else { return };
@@ -79,7 +79,9 @@
                 PlacementChoice::Start(name, predicted_ms) => {
                     self.start_task(code, idx, &name, predicted_ms, now);
                 }
-                PlacementChoice::Wait(name) => *promised.entry(name).or_default() += 1,
+                PlacementChoice::Wait(name) => {
+                    promised.insert(name);
+                }
                 PlacementChoice::Nowhere => return,
             }
         }
@@ -114,20 +116,8 @@
         };
         let free = endpoint.free_room();
         endpoint.runs.insert(task.task, run);
-        self.next_order += 1;
-        let order = EndpointOrder {
-            number: OrderNumber(self.next_order),
-            endpoint: name.clone(),
-            address: endpoint.record.address.clone(),
-            token: self.token,
-            lease_until,
-            time_limit_ms: ORDER_TIME_MS,
-            body: OrderBody::Start {
-                task: task.task,
-                run: task.last_run,
-                spec: job.offer.spec.clone(),
-            },
-        };
+        let body =
+            OrderBody::Start { task: task.task, run: task.last_run, spec: job.offer.spec.clone() };
         let note = DecisionNote::new(now, NoteEvent::TaskPlaced, name.as_str(), "ordered")
             .about(code)
             .with("step", u64::from(task.task.step))
@@ -136,7 +126,7 @@
             .with("predicted_ms", predicted_ms)
             .with("free_cpu", free.cpu)
             .with("age_ms", now.since_ms(job.arrived_at) + job.offer.age_ms);
-        self.effects.push(CellEffect::Order(order));
+        self.send_order(name, lease_until, 0, body);
         self.note(note);
     }
 
--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -91,11 +91,6 @@
         self.entries.values().filter(|it| !it.gone).map(|it| &it.record)
     }
 
-    /// An endpoint by name.
-    pub fn entry(&self, name: &EndpointName) -> Option<&DirectoryEntry> {
-        self.entries.get(name)
-    }
-
     /// Takes an announcement.
     pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> DirectoryChange {
         self.take(record, true, now)
@@ -198,6 +193,13 @@
         self.entries.values().map(|it| (it.record.clone(), it.gone)).collect()
     }
 
+    /// Counts every endpoint as heard of, as nobody who would tell of them is.
+    pub fn hold(&mut self, now: ClockTime) {
+        for entry in self.entries.values_mut() {
+            entry.heard_at = now;
+        }
+    }
+
     /// Forgets endpoints not heard of within `span_ms`; returns their names.
     pub fn expire(&mut self, span_ms: u64, now: ClockTime) -> Vec<EndpointName> {
         let is_old = |it: &DirectoryEntry| span_ms < now.since_ms(it.heard_at);
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -16,9 +16,6 @@
     vm_layout::VmRole,
 };
 
-/// Silence of all control VMs after which entries bring each other up to date, in ms.
-const CONTROL_SILENT_MS: u64 = 1_000;
-
 /// Delay after which an offer is not taken, in ms: its sender counts this entry as lost by
 /// then and may have turned elsewhere.
 const STALE_OFFER_MS: u64 = 500;
@@ -185,13 +182,12 @@
         if OFFSET_BEATS < offsets_ms.len() {
             offsets_ms.pop_front();
         }
-        // A beat that waited for a process that stood still says nothing of the present.
-        let usual_ms = offsets_ms.iter().min().copied().unwrap_or(0);
-        let delay_ms = now.0 as i64 - beat.sent_at.0 as i64 - usual_ms;
-        let heard_at = now.minus_ms(delay_ms.max(0) as u64);
         let found_at = self.peers.get(from).filter(|_| !is_new_life).map_or(now, |it| it.found_at);
-        let view =
-            PeerView { beat, heard_at, found_at, broken_at: None, is_lost: false, offsets_ms };
+        let sent_at = beat.sent_at;
+        let mut view =
+            PeerView { beat, heard_at: now, found_at, broken_at: None, is_lost: false, offsets_ms };
+        // A beat that waited for a process that stood still says nothing of the present.
+        view.heard_at = now.minus_ms(view.delay_ms(sent_at, now));
         self.peers.insert(from.clone(), view);
         self.follow_reports(from, now);
         if is_new_life && self.directory.living().next().is_none() {
@@ -217,11 +213,8 @@
 
     /// Brings a peer up to date when no control VM can.
     pub(super) fn help_peer(&mut self, from: &VmName, beat: &PeerBeat, now: ClockTime) {
-        let is_control_silent = !self.peers.values().any(|it| {
-            it.beat.role == VmRole::Control && now.since_ms(it.heard_at) < CONTROL_SILENT_MS
-        });
         if beat.role == VmRole::Entry
-            && is_control_silent
+            && self.is_control_silent(now)
             && let Some(plan) = self.plan.clone()
             && beat.plan_version < plan.version
         {
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -87,7 +87,7 @@
     EndChange(CallNumber, Result<u64, RequestError>),
     /// The plan was read.
     EndRead(CallNumber, Result<Option<StoredPlan>, RequestError>),
-    /// Send a message about cells by TCP, after all else.
+    /// Send a beat by UDP, after all else.
     Beat(VmName, PeerBeat),
     /// The role has changed.
     Role(ReplicaRole),
@@ -376,11 +376,6 @@
         change
     }
 
-    /// Endpoints and VMs as known here.
-    pub fn desk(&self) -> &ControlDesk {
-        &self.desk
-    }
-
     /// Tells the others that this VM stops.
     pub fn stop(&mut self, now: ClockTime) {
         self.stopping = true;
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -195,6 +195,32 @@
     assert_eq!(node.n_led(), 2);
 }
 
+#[test]
+fn endpoints_are_kept_while_no_control_vm_tells_of_them() {
+    let (_, mut node) = node("entry");
+    let control = VmName::from("control");
+    let records: Vec<(EndpointRecord, bool)> = (0..6).map(|it| (record(it), false)).collect();
+    let hear = |node: &mut CellNode, name: &str, role, now: ClockTime| {
+        node.receive_beat(&VmName::from(name), beat_of(name, role, Vec::new(), now), now);
+    };
+    hear(&mut node, "control", VmRole::Control, START);
+    node.receive(&control, CellMessage::Endpoints(records), START);
+    let mut now = START;
+    for _ in 0..400 {
+        now = now.plus_ms(100);
+        hear(&mut node, "other", VmRole::Entry, now);
+        node.tick(now);
+    }
+    assert_eq!(node.n_endpoints(), 6);
+    // One that is heard and tells of none says that they are gone.
+    for _ in 0..400 {
+        now = now.plus_ms(100);
+        hear(&mut node, "control", VmRole::Control, now);
+        node.tick(now);
+    }
+    assert_eq!(node.n_endpoints(), 0);
+}
+
 #[test]
 fn leader_that_is_heard_keeps_its_cell() {
     let cells = [cell("r1"), cell("r2")];
