--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -3,11 +3,9 @@
 use crate::{
     cell::{
         cell_dispatcher::{CellDispatcher, LEASE_MS, STALL_SLACK_MS},
-        dispatch_jobs::JobRank,
         endpoint_directory::EndpointRecord,
         endpoint_order::OrderBody,
         endpoint_state::{EndpointState, PendingLook, RunPhase},
-        job_offer::JobCode,
     },
     prelude::*,
 };
@@ -155,40 +153,4 @@
             self.stop_run(&name, task, "no job claims it", now);
         }
     }
-
-    /// Refuses jobs that have not started and can no longer end while their caller waits, and
-    /// gives back those that may move and would end too late.
-    pub(super) fn sort_out_waiting(&mut self, now: ClockTime) {
-        let mut order: Vec<(JobRank, JobCode)> = self
-            .jobs
-            .iter()
-            .filter(|(_, it)| it.waits())
-            .map(|(code, it)| (self.rank(it, now), *code))
-            .collect();
-        order.sort_unstable();
-        let cpu = self.usable_cpu(now);
-        let mut work = 0;
-        let mut turned_away = Vec::new();
-        for (_, code) in order {
-            let job = &self.jobs[&code];
-            work += self.waiting_work(job);
-            if job.may_have_run {
-                continue;
-            }
-            // Nothing usable says nothing of the wait.
-            let wait_ms = work.checked_div(cpu).unwrap_or(0);
-            let cause = self.refusal(job, wait_ms, now);
-            if cause.is_some() || self.is_crowded(job, wait_ms, now) {
-                work -= self.waiting_work(job);
-                turned_away.push((code, cause, wait_ms));
-            }
-        }
-        for (code, cause, wait_ms) in turned_away {
-            let Some(job) = self.jobs.swap_remove(&code) else { continue };
-            match cause {
-                Some(cause) => self.refuse(&job, cause, wait_ms, now),
-                None => self.send_back(&job, wait_ms, now),
-            }
-        }
-    }
 }
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -3,9 +3,8 @@
 use crate::{
     cell::{
         cell_dispatcher::{CellDispatcher, CellEffect, CellJob, CellTask, KeptVerdict, TaskPhase},
-        cell_placement,
         decision_note::{DecisionNote, NoteEvent},
-        endpoint_state::{EndpointState, RunPhase},
+        endpoint_state::RunPhase,
         job_offer::{JobCode, JobOffer, JobVerdict, RefusalCause, TaskRef},
     },
     prelude::*,
@@ -24,24 +23,9 @@
 /// Latency objectives after which an answer is of no use to its caller.
 const USELESS_OBJECTIVES: u64 = 3;
 
-/// Jobs that a leader keeps waiting at most; beyond it, memory would grow with a burst.
-const MAX_JOBS: usize = 4_096;
-
 /// Shortest and longest time after which a refused caller is asked to return, in ms.
 const RETRY_AFTER_MS: (u64, u64) = (200, 3_000);
 
-/// Chance of a job to be of use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum RankGroup {
-    InTime,
-    Late,
-    Useless,
-}
-
-/// Place of a job in the queue: its group, and its place in it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct JobRank(RankGroup, u64);
-
 impl CellDispatcher {
     /// Takes a job that `front` offers.
     pub fn offer(&mut self, front: &VmName, offer: JobOffer, now: ClockTime) {
@@ -161,110 +145,6 @@
         }
     }
 
-    /// Why a job that has not started and would wait `wait_ms` should be refused.
-    pub(super) fn refusal(
-        &self,
-        job: &CellJob,
-        wait_ms: u64,
-        now: ClockTime,
-    ) -> Option<RefusalCause> {
-        if self.endpoints.is_empty() {
-            return Some(RefusalCause::NoEndpoint);
-        }
-        let fits = |it| cell_placement::can_ever_fit(it, &self.endpoints);
-        if !job.offer.steps.iter().all(fits) {
-            return Some(RefusalCause::NeverFits);
-        }
-        if MAX_JOBS <= self.jobs.len() {
-            return Some(RefusalCause::QueueFull);
-        }
-        let end = now.plus_ms(wait_ms + self.chain_ms(job));
-        (job.waits_until.min(job.useful_until) < end).then_some(RefusalCause::Hopeless)
-    }
-
-    /// Whether a job that may move would wait too long to end in time here.
-    pub(super) fn is_crowded(&self, job: &CellJob, wait_ms: u64, now: ClockTime) -> bool {
-        let end = now.plus_ms(wait_ms + self.chain_ms(job));
-        job.offer.may_move && !job.may_have_run && job.due_at < end
-    }
-
-    /// Predicted time until the first steps of a job fit beside those that go before it, in ms.
-    fn room_in_ms(&self, job: &CellJob, now: ClockTime) -> u64 {
-        let rank = self.rank(job, now);
-        let ahead = self.jobs.values().filter(|it| it.waits() && self.rank(it, now) < rank);
-        let need: u64 = ahead.map(CellJob::waiting_cpu).sum::<u64>() + job.offer.first_cpu();
-        let mut usable: Vec<&EndpointState> =
-            self.endpoints.values().filter(|it| it.takes_starts(now)).collect();
-        usable.retain(|it| !it.pace.is_slow(now));
-        let mut free: u64 = usable.iter().map(|it| it.free_room().cpu).sum();
-        let mut ends: Vec<(u64, u64)> = usable
-            .iter()
-            .flat_map(|it| it.runs.values())
-            .map(|it| (it.ordered_at.plus_ms(it.predicted_ms).since_ms(now), it.need.cpu))
-            .collect();
-        ends.sort_unstable();
-        let mut wait_ms = 0;
-        for (left_ms, cpu) in ends {
-            if need <= free {
-                break;
-            }
-            free += cpu;
-            wait_ms = left_ms;
-        }
-        wait_ms
-    }
-
-    /// Run time of a job's longest chain on average endpoints of this cell, in ms.
-    pub(super) fn chain_ms(&self, job: &CellJob) -> u64 {
-        self.times.chain_ms(&job.offer) * self.distance_milli(job.offer.data_rack()) / 1000
-    }
-
-    /// Factor on run times here of tasks with their data in a rack, in thousandths.
-    pub(super) fn distance_milli(&self, data_rack: Option<&str>) -> u64 {
-        let is_far = data_rack.is_some_and(|it| it != self.cell.rack);
-        if is_far { self.off_rack_milli } else { 1_000 }
-    }
-
-    /// Predicted wait of a job behind those that go before it, in ms.
-    pub(super) fn wait_ms(&self, job: &CellJob, now: ClockTime) -> u64 {
-        let rank = self.rank(job, now);
-        let ahead = self.jobs.values().filter(|it| it.waits() && self.rank(it, now) <= rank);
-        let work: u64 = ahead.map(|it| self.waiting_work(it)).sum();
-        // Nothing usable says nothing of the wait.
-        work.checked_div(self.usable_cpu(now)).unwrap_or(0)
-    }
-
-    /// Processor of the endpoints that take starts, in thousandths of a core.
-    pub(super) fn usable_cpu(&self, now: ClockTime) -> u64 {
-        let usable = self.endpoints.values().filter(|it| it.takes_starts(now));
-        usable.map(|it| it.record.room.cpu).sum()
-    }
-
-    /// Work of a job's tasks that wait, in ms of thousandths of a core.
-    pub(super) fn waiting_work(&self, job: &CellJob) -> u64 {
-        let n_waiting = job.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting).count();
-        self.times.work(&job.offer) * n_waiting as u64 / job.tasks.len().max(1) as u64
-    }
-
-    /// Order in which jobs get endpoints.
-    ///
-    /// Those that can end in time go first, with the least slack before the others, and with
-    /// them those that have begun, as their work would be lost. Of the late ones the newest
-    /// goes first: the others are refused in time rather than all served too late.
-    pub(super) fn rank(&self, job: &CellJob, now: ClockTime) -> JobRank {
-        let chain_ms = self.chain_ms(job);
-        let start_by = job.due_at.minus_ms(chain_ms);
-        let has_begun = job.tasks.iter().any(|it| it.phase != TaskPhase::Waiting);
-        let useful_until = if has_begun { job.waits_until } else { job.useful_until };
-        if useful_until < now.plus_ms(chain_ms) {
-            JobRank(RankGroup::Useless, start_by.0)
-        } else if has_begun || now <= start_by {
-            JobRank(RankGroup::InTime, start_by.0)
-        } else {
-            JobRank(RankGroup::Late, u64::MAX - start_by.0)
-        }
-    }
-
     pub(super) fn refuse(
         &mut self,
         job: &CellJob,
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -6,11 +6,10 @@
         decision_note::{DecisionNote, NoteEvent},
         endpoint_directory::EndpointRecord,
         endpoint_order::{
-            EndpointOrder, ListedEnd, ListedRun, OrderBody, OrderOutcome, OrderRefusal, RunEnd,
-            RunLists,
+            EndpointOrder, ListedRun, OrderBody, OrderOutcome, OrderRefusal, RunLists,
         },
         endpoint_state::{EndpointRun, PendingLook, RunPhase},
-        job_offer::{JobVerdict, ResourceRoom, TaskRef},
+        job_offer::{ResourceRoom, TaskRef},
     },
     prelude::*,
 };
@@ -337,139 +336,6 @@
         }
     }
 
-    pub(super) fn take_end(&mut self, name: &EndpointName, end: &ListedEnd, now: ClockTime) {
-        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        if end.number <= endpoint.cursor {
-            return;
-        }
-        endpoint.cursor = end.number;
-        endpoint.owes_cursor = true;
-        let Some(run) = self.remove_run(name, end.task, end.run) else {
-            self.take_former_end(end, now);
-            return;
-        };
-        let is_own_stop = matches!(run.phase, RunPhase::Stopping { .. });
-        match end.end {
-            RunEnd::Done => {
-                self.learn(name, end.task, &run, now);
-                self.finish_task(end.task, now);
-            }
-            RunEnd::Failed => self.fail_task(end.task, end.run, name, now),
-            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken => {
-                let proof = if is_own_stop { "stopped" } else { "ended without its work" };
-                self.requeue(end.task, end.run, name, proof, now);
-            }
-        }
-    }
-
-    /// An end of a run that a former leader ordered and this one has not seen at work.
-    pub(super) fn take_former_end(&mut self, end: &ListedEnd, now: ClockTime) {
-        if end.end != RunEnd::Done {
-            return;
-        }
-        let Some(job) = self.jobs.get(&end.task.job) else {
-            self.former_done.insert(end.task, now);
-            return;
-        };
-        if job.tasks.iter().any(|it| it.task == end.task && it.phase == TaskPhase::Waiting) {
-            self.finish_task(end.task, now);
-        }
-    }
-
-    pub(super) fn learn(
-        &mut self,
-        name: &EndpointName,
-        task: TaskRef,
-        run: &EndpointRun,
-        now: ClockTime,
-    ) {
-        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        if endpoint.note_done() {
-            let note = DecisionNote::new(now, NoteEvent::EndpointReadmitted, name.as_str(), "done");
-            self.effects.push(CellEffect::Note(note));
-        }
-        let Some(job) = self.jobs.get(&task.job) else { return };
-        let step = &job.offer.steps[task.step as usize];
-        let declared_ms = step.declared_ms;
-        let taken_ms = now.since_ms(run.ordered_at).max(1);
-        // What it would have taken on its data's rack.
-        let run_ms = (taken_ms * 1000 / self.distance_milli(step.data_rack.as_deref())).max(1);
-        let usual_ms = self.times.usual_ms(&job.offer.route, declared_ms);
-        let mean_milli = self.mean_factor_milli(now);
-        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        let factor_milli = endpoint.pace.factor_milli(now) * 1000 / mean_milli;
-        endpoint.pace.learn(run_ms, usual_ms, now);
-        self.times.learn(&job.offer.route, run_ms, declared_ms, factor_milli);
-    }
-
-    /// Mean factor of the endpoints that are not slow for now, in thousandths.
-    ///
-    /// Times of routes are those on an average endpoint, so factors are set against it.
-    fn mean_factor_milli(&self, now: ClockTime) -> u64 {
-        let sound = self.endpoints.values().filter(|it| !it.pace.is_slow(now));
-        let factors: Vec<u64> = sound.map(|it| it.pace.factor_milli(now)).collect();
-        factors.iter().sum::<u64>().checked_div(factors.len() as u64).unwrap_or(1000).max(1)
-    }
-
-    pub(super) fn finish_task(&mut self, task: TaskRef, now: ClockTime) {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let Some(known) = job.tasks.iter_mut().find(|it| it.task == task) else { return };
-        if known.phase == TaskPhase::Done {
-            return;
-        }
-        known.phase = TaskPhase::Done;
-        job.n_left -= 1;
-        self.wants_pass = true;
-        if job.n_left == 0 {
-            self.end_job(task.job, JobVerdict::Completed, now);
-        }
-    }
-
-    pub(super) fn fail_task(
-        &mut self,
-        task: TaskRef,
-        run: u32,
-        name: &EndpointName,
-        now: ClockTime,
-    ) {
-        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        let quarantine_ms = endpoint.note_failure(now);
-        let n_in_row = endpoint.n_failed;
-        if let Some(span_ms) = quarantine_ms {
-            let event = NoteEvent::EndpointQuarantined;
-            let note = DecisionNote::new(now, event, name.as_str(), "failures");
-            self.note(note.with("span_ms", span_ms).with("failed", u64::from(n_in_row)));
-        }
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let max_attempts = job.offer.max_attempts.max(1);
-        let Some(known) = job.tasks.iter_mut().find(|it| it.task == task) else { return };
-        known.n_failed += 1;
-        known.avoid = Some(name.clone());
-        let n_failed = known.n_failed;
-        let note = DecisionNote::new(now, NoteEvent::TaskFailed, name.as_str(), "failed")
-            .about(task.job)
-            .with("idx", u64::from(task.idx))
-            .with("failed", u64::from(n_failed))
-            .with("max_attempts", u64::from(max_attempts));
-        self.note(note);
-        if n_failed < max_attempts {
-            self.requeue(task, run, name, "failed", now);
-            return;
-        }
-        let others: Vec<(EndpointName, TaskRef)> = self.jobs[&task.job]
-            .tasks
-            .iter()
-            .filter_map(|it| match &it.phase {
-                TaskPhase::Placed(name) if it.task != task => Some((name.clone(), it.task)),
-                _ => None,
-            })
-            .collect();
-        self.end_job(task.job, JobVerdict::Failed, now);
-        for (name, task) in others {
-            self.stop_run(&name, task, "job failed", now);
-        }
-    }
-
     /// Sends a stop for a run; the task waits until the run is proved to be over.
     pub(super) fn stop_run(
         &mut self,
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -7,7 +7,7 @@
         cell_dispatcher::{CellDispatcher, LEASE_MS, TaskPhase},
         cell_placement::{self, PlacementAsk, PlacementChoice},
         decision_note::{DecisionNote, NoteEvent},
-        dispatch_jobs::JobRank,
+        dispatch_waits::JobRank,
         endpoint_order::OrderBody,
         endpoint_state::{EndpointRun, RunPhase},
         job_offer::{JobCode, TaskRef},
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -16,14 +16,17 @@
         endpoint_directory::EndpointRecord,
         endpoint_order::{EndpointOrder, OrderBody, OrderOutcome},
         job_offer::{JobCode, JobOffer, JobStep, JobVerdict, ResourceRoom, TaskRef},
-        route_plan::{RequestLimits, RoutePlan, RouteRule},
+        route_plan::RoutePlan,
     },
     entry_node::CallNumber,
     job_ledger::OwnerId,
     prelude::*,
 };
 
-use crate::cell_runner::CellRunner;
+use crate::{
+    cell_fixtures::{SERVICE, SLACK_MS, STRETCH_MILLI, endpoint, route_plan},
+    cell_runner::CellRunner,
+};
 
 /// Time after which a caller without an answer sends its job again, in ms.
 const RESEND_MS: u64 = 1_300;
@@ -184,24 +187,7 @@
 }
 
 fn plan() -> RoutePlan {
-    let route = |name: &str, priority| RouteRule {
-        name: name.to_owned(),
-        host: "h".to_owned(),
-        path_prefix: format!("/{name}/"),
-        timeout_ms: 1_500,
-        service: "s".to_owned(),
-        priority,
-        max_attempts: 3,
-        stretch_milli: 1_600,
-        slack_ms: 60,
-        needs_advice: false,
-    };
-    RoutePlan {
-        version: 1,
-        routes: vec![route("short", 0), route("long", 1)],
-        services: vec!["s".to_owned()],
-        limits: RequestLimits::default(),
-    }
+    route_plan(&[("short", 0), ("long", 1)])
 }
 
 impl CellWorld {
@@ -264,18 +250,10 @@
             for idx in 0..plan.n_runners {
                 let name = EndpointName(format!("runner-{centre}-{idx}"));
                 let rack = format!("r{centre}-{}", idx / 4);
-                let record = EndpointRecord {
-                    name: name.clone(),
-                    born: self.now.0,
-                    seq: 1,
-                    service: "s".to_owned(),
-                    address: format!("10.{centre}.0.{idx}:1"),
-                    centre: DataCentre(format!("centre-{centre}")),
-                    rack: rack.clone(),
-                    labels: vec!["a".to_owned(), rack],
-                    room: room(),
-                    leaving: false,
-                };
+                let address = format!("10.{centre}.0.{idx}:1");
+                let centre_name = format!("centre-{centre}");
+                let cpu = room().cpu;
+                let record = endpoint(name.as_str(), address, &centre_name, &rack, cpu, self.now);
                 let clock_ahead = self.rng.random_range(0..100_000);
                 self.runners.insert(name.clone(), CellRunner::new(record, clock_ahead));
                 self.runner_centre.insert(name, centre);
@@ -301,13 +279,13 @@
             let offer = JobOffer {
                 job: code,
                 route: if is_short { "short" } else { "long" }.to_owned(),
-                service: "s".to_owned(),
+                service: SERVICE.to_owned(),
                 spec: "x".to_owned(),
                 steps: vec![step],
                 priority: 0,
                 max_attempts: 3,
-                stretch_milli: 1_600,
-                slack_ms: 60,
+                stretch_milli: STRETCH_MILLI,
+                slack_ms: SLACK_MS,
                 age_ms: 0,
                 remaining_ms: PATIENCE_MS,
                 first_run: 0,
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`system_world`] puts entries, control VMs, endpoints and callers around it, breaks
 //! them at random, and checks what must always hold.
 
+pub mod cell_fixtures;
 pub mod cell_runner;
 pub mod cell_world;
 pub mod fake_control;
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -16,10 +16,8 @@
     cell::{
         cell_message::{CellMessage, PeerBeat},
         cell_node::{CellNode, CellSettings, NodeEffect},
-        endpoint_directory::EndpointRecord,
         endpoint_order::{EndpointOrder, OrderBody, OrderOutcome},
         job_offer::{JobCode, JobOffer, JobStep, JobVerdict, ResourceRoom},
-        route_plan::{RequestLimits, RoutePlan, RouteRule},
     },
     config_state::ControlGroup,
     entry_node::CallNumber,
@@ -28,7 +26,10 @@
     vm_layout::VmRole,
 };
 
-use crate::cell_runner::CellRunner;
+use crate::{
+    cell_fixtures::{SERVICE, SLACK_MS, STRETCH_MILLI, endpoint, route_plan},
+    cell_runner::CellRunner,
+};
 
 /// Time from the start until jobs come, in ms: every endpoint has been claimed.
 const WARM_UP_MS: u64 = 1_500;
@@ -42,9 +43,6 @@
 const BEAT_MS: u64 = 120;
 /// Time for which a caller waits at least, in ms; it waits four times its objective.
 const PATIENCE_MS: u64 = 1_500;
-/// Stretch and slack of the latency objective.
-const STRETCH_MILLI: u64 = 1_600;
-const SLACK_MS: u64 = 60;
 /// Spread of real run times and of declared ones, in thousandths either way.
 const WORK_SPREAD_MILLI: u64 = 400;
 
@@ -173,27 +171,6 @@
     OwnerId { vm: VmName::from(name), incarnation: 1 }
 }
 
-fn route_plan(kinds: &[LoadKind]) -> RoutePlan {
-    let rule = |it: &LoadKind| RouteRule {
-        name: it.route.to_owned(),
-        host: "h".to_owned(),
-        path_prefix: format!("/{}/", it.route),
-        timeout_ms: PATIENCE_MS,
-        service: "s".to_owned(),
-        priority: it.priority,
-        max_attempts: 3,
-        stretch_milli: STRETCH_MILLI,
-        slack_ms: SLACK_MS,
-        needs_advice: false,
-    };
-    RoutePlan {
-        version: 1,
-        routes: kinds.iter().map(rule).collect(),
-        services: vec!["s".to_owned()],
-        limits: RequestLimits::default(),
-    }
-}
-
 fn beat(name: &str, role: VmRole, now: ClockTime) -> PeerBeat {
     PeerBeat {
         owner: owner(name),
@@ -254,19 +231,11 @@
         for rack in 0..self.plan.n_racks {
             for idx in 0..self.plan.n_endpoints {
                 let name = EndpointName(format!("endpoint-{rack}-{idx}"));
-                let room = ResourceRoom { cpu: self.plan.cpu, mem_mb: 64_000, gpu: 0 };
-                let record = EndpointRecord {
-                    name: name.clone(),
-                    born: 1,
-                    seq: 1,
-                    service: "s".to_owned(),
-                    address: format!("10.0.{rack}.{idx}:1"),
-                    centre: DataCentre::from("near"),
-                    rack: rack_name(rack),
-                    labels: vec![rack_name(rack)],
-                    room,
-                    leaving: false,
-                };
+                let rack_name = rack_name(rack);
+                let address = format!("10.0.{rack}.{idx}:1");
+                let born = ClockTime(1);
+                let record =
+                    endpoint(name.as_str(), address, "near", &rack_name, self.plan.cpu, born);
                 let mut runner = CellRunner::new(record, 5_000);
                 let factors = &self.plan.factors_milli;
                 runner.factor_milli = factors[(rack + idx) % factors.len()];
@@ -365,7 +334,8 @@
 
     fn announce(&mut self) {
         let control = VmName::from("control");
-        let plan = CellMessage::Plan(route_plan(&self.plan.kinds));
+        let routes: Vec<_> = self.plan.kinds.iter().map(|it| (it.route, it.priority)).collect();
+        let plan = CellMessage::Plan(route_plan(&routes));
         let records = self.runners.values_mut().map(|it| {
             it.record.seq += 1;
             (it.record.clone(), false)
@@ -402,7 +372,7 @@
         let offer = JobOffer {
             job: code,
             route: load.route.to_owned(),
-            service: "s".to_owned(),
+            service: SERVICE.to_owned(),
             spec: "x".to_owned(),
             steps: vec![step],
             priority: load.priority,
