lib: a job goes to another leader only under a higher token; a disk that refuses writes is tried again

Two entries led the cell, each over some of its endpoints; the front no longer heard the one with the higher token and offered the job, as a repeat, to the one with the lower. That one had claimed every endpoint before, and so took it that it knew all former runs; an endpoint that obeyed the higher token had begun one since. Change: an offer names the token under which it is made; a front offers a job again only under the same or a higher one, and waits for that within the time it waits for any leader; a leader under another token does not take it. Tests: the front's choice (fails first) and the leader's.

--- a/adapters/src/log_store.rs
+++ b/adapters/src/log_store.rs
@@ -5,15 +5,21 @@
 //! was never acknowledged and is cut off. Damage before the last frame is refused. A
 //! snapshot begins a new file, which takes the place of the old one by a rename.
 //!
+//! A disk that refuses writes, as when it is full, is tried again until it takes them: to the
+//! other replicas this one stands still meanwhile, as with a disk that hangs.
+//!
 //! A frame is a mark, a length and a CRC-32 in little endian, then postcard.
 
 use std::{
     fs::{self, File, OpenOptions, TryLockError},
     io::{Read, Write},
     path::{Path, PathBuf},
+    thread,
+    time::Duration,
 };
 
 use anyhow::{Context, bail, ensure};
+use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use yuccamux::{
     prelude::VmName,
@@ -21,6 +27,11 @@
     replica_log::{LogEntry, LogSnapshot, ReplicaLog},
 };
 
+/// Pause before a write that was refused is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Tries between two lines that say so: one each five seconds.
+const TRIES_PER_LINE: u64 = 50;
+
 const FRAME_MARK: [u8; 4] = *b"yxf1";
 const FRAME_HEAD_BYTES: usize = 12;
 const LOG_NAME: &str = "replica.log";
@@ -43,6 +54,8 @@
     file: File,
     hard: Option<HardState>,
     log: ReplicaLog,
+    /// Bytes of whole frames in the file.
+    n_bytes: u64,
     n_syncs: u64,
     _lock: File,
 }
@@ -73,6 +86,7 @@
             file,
             hard: None,
             log: ReplicaLog::default(),
+            n_bytes: n_whole as u64,
             n_syncs: 0,
             _lock: lock,
         };
@@ -96,6 +110,10 @@
     }
 
     /// Carries out changes in order, all of them durable on return.
+    ///
+    /// # Errors
+    ///
+    /// When a change cannot be encoded; a refused write is tried again.
     pub fn commit(&mut self, effects: Vec<StoreEffect>) -> anyhow::Result<()> {
         let mut changes = Vec::new();
         for effect in effects {
@@ -123,8 +141,14 @@
         if changes.is_empty() {
             return Ok(());
         }
-        self.file.write_all(&frame(&changes)?)?;
-        self.file.sync_data()?;
+        let frame = frame(&changes)?;
+        self.keep_trying(|store| {
+            // What a refused write left behind.
+            store.file.set_len(store.n_bytes)?;
+            store.file.write_all(&frame)?;
+            store.file.sync_data()
+        });
+        self.n_bytes += frame.len() as u64;
         self.n_syncs += 1;
         changes.into_iter().for_each(|it| self.replay(it));
         Ok(())
@@ -137,18 +161,38 @@
         let first = self.log.snapshot().index + 1;
         let entries = self.log.entries_from(first, usize::MAX, usize::MAX).to_vec();
         changes.push(StoredChange::Append(entries));
+        let frame = frame(&changes)?;
         let new_path = self.folder.join(NEW_LOG_NAME);
         let path = self.folder.join(LOG_NAME);
-        let mut file = File::create(&new_path)?;
-        file.write_all(&frame(&changes)?)?;
-        file.sync_all()?;
-        fs::rename(&new_path, &path)?;
-        sync_folder(&self.folder)?;
-        self.file = OpenOptions::new().append(true).open(&path)?;
+        self.keep_trying(|store| {
+            let mut file = File::create(&new_path)?;
+            file.write_all(&frame)?;
+            file.sync_all()?;
+            fs::rename(&new_path, &path)?;
+            File::open(&store.folder)?.sync_all()?;
+            store.file = OpenOptions::new().append(true).open(&path)?;
+            Ok(())
+        });
+        self.n_bytes = frame.len() as u64;
         self.n_syncs += 1;
         Ok(())
     }
 
+    /// Writes until the disk takes it.
+    fn keep_trying(&mut self, write: impl Fn(&mut LogStore) -> std::io::Result<()>) {
+        let mut n_tries = 0;
+        while let Err(error) = write(self) {
+            if n_tries % TRIES_PER_LINE == 0 {
+                warn!("the data folder {} takes no writes: {error}", self.folder.display());
+            }
+            n_tries += 1;
+            thread::sleep(RETRY_PAUSE);
+        }
+        if 0 < n_tries {
+            info!("the data folder {} takes writes again", self.folder.display());
+        }
+    }
+
     /// Applies a change to the copy in memory.
     fn replay(&mut self, change: StoredChange) {
         match change {
--- a/adapters/tests/test_log_store.rs
+++ b/adapters/tests/test_log_store.rs
@@ -1,6 +1,9 @@
 //! The control replica's disk: what a restart finds after crashes and damage.
 
-use std::fs;
+use std::{
+    fs, thread,
+    time::{Duration, Instant},
+};
 
 use indexmap::IndexSet;
 use tempfile::TempDir;
@@ -127,3 +130,23 @@
     let error = format!("{:#}", other.err().unwrap());
     assert!(error.contains("belongs to VM control-1, not to control-2"), "{error}");
 }
+
+/// A folder in the way of the new file: writes are refused until it is gone.
+#[test]
+fn refused_write_is_tried_until_the_disk_takes_it() {
+    let folder = filled(3);
+    let in_the_way = folder.path().join("replica.log.new");
+    fs::create_dir(&in_the_way).unwrap();
+    let mender = thread::spawn(move || {
+        thread::sleep(Duration::from_millis(250));
+        fs::remove_dir(in_the_way).unwrap();
+    });
+    let mut store = open(&folder).unwrap();
+    let began = Instant::now();
+    store.commit(vec![StoreEffect::Reset(hard(2)), StoreEffect::Append(vec![entry(1)])]).unwrap();
+    assert!(Duration::from_millis(200) < began.elapsed());
+    mender.join().unwrap();
+    store.commit(vec![StoreEffect::Append(vec![entry(2)])]).unwrap();
+    drop(store);
+    assert_eq!(last_index(&folder), 2);
+}
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -130,6 +130,8 @@
     pub(super) started_at: ClockTime,
     /// When it began to hear others, after a start or after it heard nobody.
     pub(super) joined_at: Option<ClockTime>,
+    /// Whether cells have not been told yet of what is new of endpoints.
+    pub(super) has_endpoint_news: bool,
     /// When it last heard a VM anew.
     pub(super) found_at: ClockTime,
     pub(super) highest_token: u64,
@@ -159,6 +161,7 @@
             ceded_at: now,
             started_at: now,
             joined_at: None,
+            has_endpoint_news: false,
             found_at: now,
             highest_token: 0,
             n_cells_led: 0,
@@ -277,6 +280,9 @@
         self.wake(now);
         self.tick_peers(now);
         self.tick_fences(now);
+        if std::mem::take(&mut self.has_endpoint_news) {
+            self.spread_endpoints(now);
+        }
         for led in self.led.values_mut() {
             led.dispatcher.tick(&self.settings.owner.vm, now);
         }
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -111,6 +111,9 @@
     /// Number of the offer, unique within the entry that makes it; the same when it is
     /// sent again.
     pub number: u64,
+    /// Token of the leader to which it is offered; one that leads under another does not
+    /// take it.
+    pub token: u64,
     /// Whether the job may already have tasks at work in the cell.
     pub is_repeat: bool,
     /// Whether the leader may send it back when other cells could end it sooner.
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -2,7 +2,9 @@
 //! becomes of it when a leader changes.
 //!
 //! A job is bound to the cell that it was first offered to. It moves to another cell
-//! only after a refusal, which proves that none of its tasks has started.
+//! only after a refusal, which proves that none of its tasks has started. In its cell it
+//! moves to another leader only under a higher token: endpoints that obey that one obey
+//! no former leader, while a former one with a higher token may still start its tasks.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -58,6 +60,12 @@
         offer.is_repeat = self.was_offered;
         offer
     }
+
+    /// Whether it may be offered to the leader that a view names.
+    pub fn may_go_to(&self, view: &CellView) -> bool {
+        let is_same = self.offer.token == view.report.token;
+        !self.was_offered || is_same || self.offer.token < view.report.token
+    }
 }
 
 /// A cell as the router sees it.
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -93,6 +93,10 @@
         }
         let Some(cell) = job.cell.clone() else { return };
         let Some(view) = self.views.get_mut(&cell) else { return };
+        if !job.may_go_to(view) {
+            return;
+        }
+        job.offer.token = view.report.token;
         let leader = view.leader.clone();
         view.offered_cpu += job.offer.first_cpu();
         view.offered_work += job.offer.declared_work();
@@ -128,8 +132,10 @@
         }
         let own = self.settings.owner.vm.clone();
         match self.led.get_mut(cell) {
-            Some(led) => led.dispatcher.offer(&own, offer, now),
-            None => {
+            Some(led) if led.dispatcher.token() == offer.token => {
+                led.dispatcher.offer(&own, offer, now);
+            }
+            _ => {
                 let number = offer.number;
                 self.take_verdict(&own, cell, offer.job, number, JobVerdict::NotLeader, now);
             }
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -78,7 +78,9 @@
         let delay_ms = self.peers.get(from).map_or(0, |it| it.delay_ms(sent_at, now));
         let is_stale = STALE_OFFER_MS < delay_ms;
         match self.led.get_mut(&cell) {
-            Some(led) if !is_stale => led.dispatcher.offer(from, offer, now),
+            Some(led) if !is_stale && led.dispatcher.token() == offer.token => {
+                led.dispatcher.offer(from, offer, now);
+            }
             _ => {
                 let outcome = if is_stale { "stale offer" } else { "not the leader" };
                 let note = DecisionNote::new(now, NoteEvent::JobRefused, cell.to_string(), outcome);
@@ -116,9 +118,9 @@
                 self.note(note.with("born", born));
             }
         }
-        if is_changed {
-            self.spread_endpoints(now);
-        }
+        // News come one by one when all endpoints announce themselves; the next tick is soon
+        // enough for all of them.
+        self.has_endpoint_news |= is_changed;
     }
 
     /// Endpoints by cell.
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -63,6 +63,7 @@
         remaining_ms: 2_000,
         first_run: 0,
         number: code,
+        token: 0,
         is_repeat: false,
         may_move: false,
     }
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -4,13 +4,14 @@
 use yuccamux::{
     cell::{
         cell_leadership::{self, LeaderCandidate},
-        cell_message::{CellMessage, CellName, PeerBeat},
+        cell_message::{CellMessage, CellName, CellReport, PeerBeat},
         cell_node::{CellNode, CellSettings, NodeEffect},
         endpoint_directory::EndpointRecord,
-        job_offer::ResourceRoom,
+        job_offer::{JobCode, JobOffer, JobStep, JobVerdict, ResourceRoom},
         route_plan::RoutePlan,
     },
     config_state::ControlGroup,
+    entry_node::CallNumber,
     job_ledger::OwnerId,
     prelude::*,
     vm_layout::VmRole,
@@ -288,3 +289,111 @@
     }
     assert!(ahead < token);
 }
+
+/// A beat of an entry that leads a cell under a token.
+fn leader_beat(name: &str, token: u64, now: ClockTime) -> PeerBeat {
+    let report = CellReport {
+        cell: cell("r1"),
+        token,
+        cpu: 100_000,
+        free_cpu: 100_000,
+        open_cpu: 100_000,
+        quick_cpu: 0,
+        queued_work: 0,
+    };
+    PeerBeat { cells: vec![report], ..beat_of(name, VmRole::Entry, Vec::new(), now) }
+}
+
+fn job() -> JobOffer {
+    let step = JobStep {
+        count: 1,
+        need: ResourceRoom { cpu: 1_000, mem_mb: 10, gpu: 0 },
+        declared_ms: 100,
+        after: Vec::new(),
+        data_rack: None,
+        label: None,
+        max_on_endpoint: None,
+    };
+    JobOffer {
+        job: JobCode(1),
+        route: "route".to_owned(),
+        service: "s".to_owned(),
+        spec: String::new(),
+        steps: vec![step],
+        priority: 0,
+        max_attempts: 2,
+        stretch_milli: 1_600,
+        slack_ms: 60,
+        age_ms: 0,
+        remaining_ms: 5_000,
+        first_run: 0,
+        number: 0,
+        token: 0,
+        is_repeat: false,
+        may_move: false,
+    }
+}
+
+/// Offers that a node has sent since the last call: to whom, under which token.
+fn offers(node: &mut CellNode) -> Vec<(VmName, u64, bool)> {
+    let sent = node.take_effects().into_iter().filter_map(|it| match it {
+        NodeEffect::Send(to, CellMessage::Offer(_, offer, _)) => {
+            Some((to, offer.token, offer.is_repeat))
+        }
+        _ => None,
+    });
+    sent.collect()
+}
+
+/// Found by a hunted day: after a cut two entries led one cell, and the front turned from the one
+/// with the higher token, which it did not hear for a moment, to the other.
+#[test]
+fn job_goes_to_another_leader_only_under_a_higher_token() {
+    let (_, mut front) = node("front");
+    let (higher, lower) = (VmName::from("higher"), VmName::from("lower"));
+    let mut now = START;
+    front.receive_beat(&higher, leader_beat("higher", 300, now), now);
+    front.submit(CallNumber(1), job(), now);
+    assert_eq!(offers(&mut front), [(higher.clone(), 300, false)]);
+    for _ in 0..50 {
+        now = now.plus_ms(20);
+        front.receive_beat(&lower, leader_beat("lower", 200, now), now);
+        front.tick(now);
+        assert_eq!(offers(&mut front), []);
+    }
+    now = now.plus_ms(20);
+    front.receive_beat(&lower, leader_beat("lower", 400, now), now);
+    front.tick(now);
+    assert_eq!(offers(&mut front), [(lower, 400, true)]);
+}
+
+#[test]
+fn leader_under_another_token_does_not_take_an_offer() {
+    let (_, mut leader) = node("leader");
+    let control = VmName::from("control");
+    let front = VmName::from("front");
+    let records: Vec<(EndpointRecord, bool)> = vec![(record(1), false)];
+    leader.receive(&control, CellMessage::Endpoints(records), START);
+    let mut now = START;
+    for _ in 0..40 {
+        now = now.plus_ms(20);
+        leader.receive_beat(&control, beat_of("control", VmRole::Control, Vec::new(), now), now);
+        leader.tick(now);
+    }
+    assert_eq!(leader.n_led(), 1);
+    leader.take_effects();
+    leader.receive(
+        &front,
+        CellMessage::Offer(cell("r1"), JobOffer { token: 7, ..job() }, now),
+        now,
+    );
+    let verdicts: Vec<JobVerdict> = leader
+        .take_effects()
+        .into_iter()
+        .filter_map(|it| match it {
+            NodeEffect::Send(_, CellMessage::Ended(_, _, _, verdict)) => Some(verdict),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(verdicts, [JobVerdict::NotLeader]);
+}
--- a/lib/tests/test_load_patterns.rs
+++ b/lib/tests/test_load_patterns.rs
@@ -57,6 +57,7 @@
         remaining_ms: 1_500,
         first_run: 0,
         number: 0,
+        token: 0,
         is_repeat: false,
         may_move: true,
     };
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -290,6 +290,7 @@
                 remaining_ms: PATIENCE_MS,
                 first_run: 0,
                 number: 0,
+                token: 0,
                 is_repeat: false,
                 may_move: false,
             };
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -383,6 +383,7 @@
             remaining_ms: PATIENCE_MS,
             first_run: 0,
             number: 0,
+            token: 0,
             is_repeat: false,
             may_move: false,
         };
