lib: a far leader, or one that heard no control VM, does not count on knowing every endpoint

Change: a leader counts on knowing every endpoint only in its own data centre, and when it has heard control VMs without a gap for 4 s; otherwise a repeated job waits until a former lease has run out.

--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -130,6 +130,8 @@
     pub(super) started_at: ClockTime,
     /// When it began to hear others, after a start or after it heard nobody.
     pub(super) joined_at: Option<ClockTime>,
+    /// When no control VM was heard last, which would have told of new endpoints.
+    pub(super) untold_at: ClockTime,
     /// Whether cells have not been told yet of what is new of endpoints.
     pub(super) has_endpoint_news: bool,
     /// When it last heard a VM anew.
@@ -161,6 +163,7 @@
             ceded_at: now,
             started_at: now,
             joined_at: None,
+            untold_at: now,
             has_endpoint_news: false,
             found_at: now,
             highest_token: 0,
@@ -291,6 +294,7 @@
         if self.beat_at <= now {
             self.beat_at = now.plus_ms(BEAT_MS);
             if self.is_control_silent(now) {
+                self.untold_at = now;
                 self.directory.hold(now);
             }
             if !self.directory.expire(ENDPOINT_EXPIRY_MS, now).is_empty() {
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -116,7 +116,7 @@
         self.highest_token = token;
         self.n_cells_led += 1;
         let first_order = self.n_cells_led * ORDER_SPACE;
-        let is_known = LEARNING_MS <= now.since_ms(self.started_at);
+        let is_known = self.knows_endpoints(cell, now);
         let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, is_known)
             .with_off_rack_milli(self.settings.off_rack_milli);
         let records = self.cells().swap_remove(cell).unwrap_or_default();
@@ -133,6 +133,15 @@
         self.beat_at = now;
     }
 
+    /// Whether every endpoint of a cell that a former leader may have used is known here.
+    ///
+    /// Behind a cut, endpoints are born of which nobody on this side has told.
+    fn knows_endpoints(&self, cell: &CellName, now: ClockTime) -> bool {
+        cell.centre == self.settings.centre
+            && LEARNING_MS <= now.since_ms(self.started_at)
+            && LEARNING_MS <= now.since_ms(self.untold_at)
+    }
+
     pub(super) fn lose_cell(&mut self, cell: &CellName, now: ClockTime) {
         let Some(mut led) = self.led.swap_remove(cell) else { return };
         led.dispatcher.give_up(now);
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -7,6 +7,7 @@
         cell_message::{CellMessage, CellName, CellReport, PeerBeat},
         cell_node::{CellNode, CellSettings, NodeEffect},
         endpoint_directory::EndpointRecord,
+        endpoint_order::{OrderBody, OrderOutcome, RunLists},
         job_offer::{JobCode, JobOffer, JobStep, JobVerdict, ResourceRoom},
         route_plan::RoutePlan,
     },
@@ -397,3 +398,70 @@
         .collect();
     assert_eq!(verdicts, [JobVerdict::NotLeader]);
 }
+
+/// What an entry's effects came to.
+#[derive(Default)]
+struct LeaderTrace {
+    token: u64,
+    has_started: bool,
+}
+
+/// Answers an entry's looks at its endpoints, which run nothing.
+fn answer_looks(leader: &mut CellNode, trace: &mut LeaderTrace, now: ClockTime) {
+    for effect in leader.take_effects() {
+        match effect {
+            NodeEffect::Beat(_, beat) => {
+                trace.token = beat.cells.first().map_or(trace.token, |it| it.token);
+            }
+            NodeEffect::Order(order) => match order.body {
+                OrderBody::Start { .. } => trace.has_started = true,
+                _ => {
+                    let lists = RunLists { born: Some(1), ..RunLists::default() };
+                    let outcome = OrderOutcome::Carried(now.0, Some(lists));
+                    leader.take_outcome(&order, outcome, now);
+                }
+            },
+            _ => {}
+        }
+    }
+}
+
+/// Found by a hunted day: an endpoint was born behind a cut, and a run on it was not known to the
+/// leader on this side when the cut healed.
+#[test]
+fn far_leader_does_not_count_on_knowing_every_endpoint() {
+    let (_, mut leader) = node("leader");
+    let (control, front) = (VmName::from("control"), VmName::from("front"));
+    let far = DataCentre::from("augsburg");
+    let far_cell = CellName { centre: far.clone(), ..cell("r1") };
+    let mut trace = LeaderTrace::default();
+    let mut now = START;
+    let pass = |leader: &mut CellNode, trace: &mut LeaderTrace, now| {
+        let beat = beat_of("control", VmRole::Control, Vec::new(), now);
+        leader.receive_beat(&control, beat, now);
+        leader.tick(now);
+        answer_looks(leader, trace, now);
+    };
+    let plan = RoutePlan { version: 1, ..RoutePlan::default() };
+    leader.receive(&control, CellMessage::Plan(plan), now);
+    let news = vec![(EndpointRecord { centre: far, ..record(1) }, false)];
+    leader.receive(&control, CellMessage::Endpoints(news), now);
+    // Nobody of the other data centre is heard.
+    for _ in 0..300 {
+        now = now.plus_ms(20);
+        pass(&mut leader, &mut trace, now);
+    }
+    assert_eq!(leader.n_led(), 1);
+    let offer = JobOffer { token: trace.token, is_repeat: true, ..job() };
+    leader.receive(&front, CellMessage::Offer(far_cell.clone(), offer, now), now);
+    let offered_at = now;
+    while !trace.has_started && now < offered_at.plus_ms(3_000) {
+        now = now.plus_ms(20);
+        let wanted = CellMessage::Wanted(far_cell.clone(), vec![(JobCode(1), 0)]);
+        leader.receive(&front, wanted, now);
+        pass(&mut leader, &mut trace, now);
+    }
+    // By then the lease that a former leader gave has run out.
+    let waited_ms = now.since_ms(offered_at);
+    assert!(trace.has_started && 1_000 < waited_ms, "after {waited_ms} ms");
+}
