--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -240,12 +240,12 @@
     /// Free processor that jobs without data in the rack may take.
     fn open_cpu(&self, report: &CellReport, now: ClockTime) -> u64 {
         let runs = self.endpoints.values().flat_map(|it| &it.runs);
-        let is_guest =
+        let is_other =
             |task: &TaskRef| self.jobs.get(&task.job).is_none_or(|it| !self.is_home(&it.offer));
-        let guest_cpu: u64 =
-            runs.filter(|(task, _)| is_guest(task)).map(|(_, run)| run.need.cpu).sum();
+        let other_cpu: u64 =
+            runs.filter(|(task, _)| is_other(task)).map(|(_, run)| run.need.cpu).sum();
         let kept = self.home_load.kept_cpu(report.cpu, now);
-        report.free_cpu.min(report.cpu.saturating_sub(guest_cpu + kept))
+        report.free_cpu.min(report.cpu.saturating_sub(other_cpu + kept))
     }
 
     /// Whether the data of a job lies in the cell's rack.
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -179,7 +179,7 @@
 }
 
 /// Draws a cell with free room, kept or not, for a job that would otherwise be refused.
-pub fn choose_refuge(
+pub fn choose_free_cell(
     job: &FrontJob,
     views: &IndexMap<CellName, CellView>,
     now: ClockTime,
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -211,7 +211,7 @@
     /// Offers a refused job to another cell that has room at once; whether it did.
     pub(super) fn reroute(&mut self, code: JobCode, now: ClockTime) -> bool {
         let Some(job) = self.router.jobs.get_mut(&code) else { return false };
-        let Some(cell) = job_router::choose_refuge(job, &self.views, now) else { return false };
+        let Some(cell) = job_router::choose_free_cell(job, &self.views, now) else { return false };
         job.offer.may_move = false;
         job.cell = Some(cell);
         job.leader = None;
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -346,7 +346,7 @@
     sent.collect()
 }
 
-/// Found by a hunted day: after a cut two entries led one cell, and the front turned from the one
+/// Found under random faults: after a cut two entries led one cell, and the front turned from the one
 /// with the higher token, which it did not hear for a moment, to the other.
 #[test]
 fn job_goes_to_another_leader_only_under_a_higher_token() {
@@ -426,7 +426,7 @@
     }
 }
 
-/// Found by a hunted day: an endpoint was born behind a cut, and a run on it was not known to the
+/// Found under random faults: an endpoint was born behind a cut, and a run on it was not known to the
 /// leader on this side when the cut healed.
 #[test]
 fn far_leader_does_not_count_on_knowing_every_endpoint() {
--- a/lib/tests/test_load_patterns.rs
+++ b/lib/tests/test_load_patterns.rs
@@ -157,5 +157,5 @@
     let mut views: IndexMap<_, _> = [view("full", 0), view("kept", 0)].into_iter().collect();
     views[&cell("kept")].report.free_cpu = 10_000;
     let job = FrontJob { refused_by: vec![cell("full")], ..job(1, None) };
-    assert_eq!(job_router::choose_refuge(&job, &views, NOW), Some(cell("kept")));
+    assert_eq!(job_router::choose_free_cell(&job, &views, NOW), Some(cell("kept")));
 }
