lib: a leader's waiting jobs are ranked in one place

The placement pass and the sorting out of hopeless jobs each put the ranked queue together, and a tick does both; the second also worked out a job's work twice. ranked_waiting serves both. The check of a leader's token was two comparisons for one.

--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -7,7 +7,6 @@
         cell_dispatcher::{CellDispatcher, LEASE_MS, TaskPhase},
         cell_placement::{self, PlacementAsk, PlacementChoice},
         decision_note::{DecisionNote, NoteEvent},
-        dispatch_waits::JobRank,
         endpoint_order::OrderBody,
         endpoint_state::{EndpointRun, RunPhase},
         job_offer::{JobCode, TaskRef},
@@ -27,22 +26,16 @@
             return;
         }
         let are_known = self.former_runs_are_known();
-        let mut order: Vec<(JobRank, JobCode)> = self
-            .jobs
-            .iter()
-            .filter(|(_, it)| {
-                let is_over = CLAIM_MS <= now.since_ms(it.arrived_at);
-                it.waits() && (are_known || is_over || !it.offer.is_repeat)
-            })
-            .map(|(code, it)| (self.rank(it, now), *code))
-            .collect();
-        if order.is_empty() || !self.endpoints.values().any(|it| it.takes_starts(now)) {
+        if !self.endpoints.values().any(|it| it.takes_starts(now)) {
             return;
         }
-        order.sort_unstable();
         let mut promised = IndexSet::new();
-        for (_, code) in order {
-            self.place_job(code, &mut promised, now);
+        for (_, code) in self.ranked_waiting(now) {
+            let job = &self.jobs[&code];
+            let is_over = CLAIM_MS <= now.since_ms(job.arrived_at);
+            if are_known || is_over || !job.offer.is_repeat {
+                self.place_job(code, &mut promised, now);
+            }
         }
     }
 
--- a/lib/src/cell/dispatch_waits.rs
+++ b/lib/src/cell/dispatch_waits.rs
@@ -45,6 +45,14 @@
         }
     }
 
+    /// Jobs with tasks that wait, in the order in which they get endpoints.
+    pub(super) fn ranked_waiting(&self, now: ClockTime) -> Vec<(JobRank, JobCode)> {
+        let waiting = self.jobs.iter().filter(|(_, it)| it.waits());
+        let mut order: Vec<_> = waiting.map(|(code, it)| (self.rank(it, now), *code)).collect();
+        order.sort_unstable();
+        order
+    }
+
     /// Work of a job's tasks that wait, in ms of thousandths of a core.
     pub(super) fn waiting_work(&self, job: &CellJob) -> u64 {
         let n_waiting = job.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting).count();
@@ -133,28 +141,19 @@
     /// Refuses jobs that have not started and can no longer end while their caller waits, and
     /// gives back those that may move and would end too late.
     pub(super) fn sort_out_waiting(&mut self, now: ClockTime) {
-        let mut order: Vec<(JobRank, JobCode)> = self
-            .jobs
-            .iter()
-            .filter(|(_, it)| it.waits())
-            .map(|(code, it)| (self.rank(it, now), *code))
-            .collect();
-        order.sort_unstable();
         let cpu = self.usable_cpu(now);
-        let mut work = 0;
+        let mut work_ahead = 0;
         let mut turned_away = Vec::new();
-        for (_, code) in order {
+        for (_, code) in self.ranked_waiting(now) {
             let job = &self.jobs[&code];
-            work += self.waiting_work(job);
-            if job.may_have_run {
-                continue;
-            }
+            let work = work_ahead + self.waiting_work(job);
             // Nothing usable says nothing of the wait.
             let wait_ms = work.checked_div(cpu).unwrap_or(0);
-            let cause = self.refusal(job, wait_ms, now);
+            let cause = if job.may_have_run { None } else { self.refusal(job, wait_ms, now) };
             if cause.is_some() || self.is_crowded(job, wait_ms, now) {
-                work -= self.waiting_work(job);
                 turned_away.push((code, cause, wait_ms));
+            } else {
+                work_ahead = work;
             }
         }
         for (code, cause, wait_ms) in turned_away {
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -63,8 +63,7 @@
 
     /// Whether it may be offered to the leader that a view names.
     pub fn may_go_to(&self, view: &CellView) -> bool {
-        let is_same = self.offer.token == view.report.token;
-        !self.was_offered || is_same || self.offer.token < view.report.token
+        !self.was_offered || self.offer.token <= view.report.token
     }
 }
 
