lib: a placement pass passes over jobs whose tasks fit nowhere

Each end of a run asked every endpoint for every waiting task of the queue, though mostly one place had become free: the largest free room of any endpoint tells the others apart at once.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -14,7 +14,7 @@
         endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
         endpoint_state::EndpointState,
         home_load::HomeLoad,
-        job_offer::{JobCode, JobOffer, JobVerdict, TaskRef},
+        job_offer::{JobCode, JobOffer, JobVerdict, ResourceRoom, TaskRef},
         run_forecast::{QUICK_MILLI, RouteTimes},
     },
     prelude::*,
@@ -94,10 +94,15 @@
         self.offer.steps[step as usize].after.iter().all(is_done)
     }
 
+    /// What each task that waits takes of its endpoint.
+    pub(super) fn waiting_needs(&self) -> impl Iterator<Item = &ResourceRoom> {
+        let waiting = self.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting);
+        waiting.map(|it| &self.offer.steps[it.task.step as usize].need)
+    }
+
     /// Processor of the tasks that wait, in thousandths of a core.
     pub(super) fn waiting_cpu(&self) -> u64 {
-        let waiting = self.tasks.iter().filter(|it| it.phase == TaskPhase::Waiting);
-        waiting.map(|it| self.offer.steps[it.task.step as usize].need.cpu).sum()
+        self.waiting_needs().map(|it| it.cpu).sum()
     }
 
     pub(super) fn waits(&self) -> bool {
--- a/lib/src/cell/cell_placement.rs
+++ b/lib/src/cell/cell_placement.rs
@@ -102,6 +102,24 @@
     }
 }
 
+/// The most of each kind of room that any endpoint has free for a start.
+///
+/// What exceeds it fits nowhere now, which then need not be asked of each endpoint.
+pub(crate) fn largest_room(
+    endpoints: &IndexMap<EndpointName, EndpointState>,
+    now: ClockTime,
+) -> ResourceRoom {
+    let usable = endpoints.values().filter(|it| it.takes_starts(now));
+    usable.fold(ResourceRoom::default(), |largest, it| {
+        let free = it.free_room();
+        ResourceRoom {
+            cpu: largest.cpu.max(free.cpu),
+            mem_mb: largest.mem_mb.max(free.mem_mb),
+            gpu: largest.gpu.max(free.gpu),
+        }
+    })
+}
+
 /// Whole cores that a task leaves free.
 fn leftover(free: &ResourceRoom, need: &ResourceRoom) -> u64 {
     free.cpu.saturating_sub(need.cpu) / 1000
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -30,11 +30,14 @@
             return;
         }
         let mut promised = IndexSet::new();
+        let mut largest = cell_placement::largest_room(&self.endpoints, now);
         for (_, code) in self.ranked_waiting(now) {
             let job = &self.jobs[&code];
             let is_over = CLAIM_MS <= now.since_ms(job.arrived_at);
-            if are_known || is_over || !job.offer.is_repeat {
+            let may_start = are_known || is_over || !job.offer.is_repeat;
+            if may_start && job.waiting_needs().any(|it| largest.fits(it)) {
                 self.place_job(code, &mut promised, now);
+                largest = cell_placement::largest_room(&self.endpoints, now);
             }
         }
     }
