cell: endpoints are indexed by cell, and candidates for a cell are borrowed

Cause: every 120 ms each entry copied the records of all endpoints to see which cells have no leader, and looked up each cell at each peer. Change: the directory keeps the live endpoints by cell; candidates borrow names and reports; the leader of each cell comes from one walk over the reports.

--- a/lib/src/cell/cell_leadership.rs
+++ b/lib/src/cell/cell_leadership.rs
@@ -27,18 +27,18 @@
 const MAX_FENCED_DOUBLINGS: u64 = 8;
 
 /// An entry that may lead cells.
-#[derive(Data!)]
-pub struct LeaderCandidate {
+#[derive(Clone, Debug)]
+pub struct LeaderCandidate<'a> {
     /// Its VM.
-    pub vm: VmName,
+    pub vm: &'a VmName,
     /// Its data centre.
-    pub centre: DataCentre,
+    pub centre: &'a DataCentre,
     /// Processor share, in thousandths of a core.
     pub weight: u64,
     /// Whether it is shutting down.
     pub stopping: bool,
     /// Cells that it leads, with its tokens.
-    pub cells: IndexMap<CellName, u64>,
+    pub cells: Vec<(&'a CellName, u64)>,
 }
 
 /// The next token of `vm`: above `known`, the highest one seen, and above the time `now`.
@@ -55,34 +55,40 @@
     (epoch << TOKEN_VM_BITS) | (digest(vm, "token") & ((1 << TOKEN_VM_BITS) - 1))
 }
 
-/// The entry with the highest token for a cell.
-pub fn leader_of<'a>(
-    cell: &CellName,
-    candidates: &'a [LeaderCandidate],
-) -> Option<(&'a LeaderCandidate, u64)> {
-    let claims = candidates.iter().filter_map(|it| Some((it, *it.cells.get(cell)?)));
-    claims.max_by_key(|(_, token)| *token)
+/// The leader of each cell that has one, with its token: the entry with the highest token.
+pub fn leaders<'a, 'b>(
+    candidates: &'b [LeaderCandidate<'a>],
+) -> IndexMap<&'a CellName, (&'b LeaderCandidate<'a>, u64)> {
+    let mut leaders = IndexMap::new();
+    for candidate in candidates {
+        for (cell, token) in &candidate.cells {
+            let leader = leaders.entry(*cell).or_insert((candidate, *token));
+            if leader.1 <= *token {
+                *leader = (candidate, *token);
+            }
+        }
+    }
+    leaders
 }
 
 /// Assigns each cell without a leader, or whose leader is shutting down, to an entry.
 pub fn assign_cells<'a>(
     cells: impl Iterator<Item = &'a CellName>,
-    candidates: &[LeaderCandidate],
+    candidates: &[LeaderCandidate<'_>],
 ) -> Vec<(CellName, VmName)> {
-    let mut unled: Vec<&CellName> = Vec::new();
-    for cell in cells {
-        let leader = leader_of(cell, candidates);
-        if leader.is_none_or(|(it, _)| it.stopping) {
-            unled.push(cell);
-        }
+    let leaders = leaders(candidates);
+    let mut unled: Vec<&CellName> =
+        cells.filter(|it| leaders.get(it).is_none_or(|(leader, _)| leader.stopping)).collect();
+    if unled.is_empty() {
+        return Vec::new();
     }
     unled.sort();
     let mut n_led: IndexMap<&VmName, u64> =
-        candidates.iter().map(|it| (&it.vm, it.cells.len() as u64)).collect();
+        candidates.iter().map(|it| (it.vm, it.cells.len() as u64)).collect();
     let mut assigned = Vec::new();
     for cell in unled {
         let Some(candidate) = least_loaded(cell, candidates, &n_led) else { continue };
-        *n_led.entry(&candidate.vm).or_default() += 1;
+        *n_led.entry(candidate.vm).or_default() += 1;
         assigned.push((cell.clone(), candidate.vm.clone()));
     }
     assigned
@@ -92,19 +98,19 @@
 /// cell's data centre come first.
 fn least_loaded<'a>(
     cell: &CellName,
-    candidates: &'a [LeaderCandidate],
+    candidates: &'a [LeaderCandidate<'a>],
     n_led: &IndexMap<&VmName, u64>,
-) -> Option<&'a LeaderCandidate> {
-    let local: Vec<&LeaderCandidate> =
-        candidates.iter().filter(|it| it.centre == cell.centre && !it.stopping).collect();
+) -> Option<&'a LeaderCandidate<'a>> {
+    let local: Vec<&LeaderCandidate<'_>> =
+        candidates.iter().filter(|it| *it.centre == cell.centre && !it.stopping).collect();
     let choice = if local.is_empty() {
         candidates.iter().filter(|it| !it.stopping).collect()
     } else {
         local
     };
     choice.into_iter().min_by_key(|it| {
-        let n_after = n_led.get(&it.vm).copied().unwrap_or(0) + 1;
-        (n_after * 1_000_000 / it.weight.max(1), digest(&it.vm, &cell.rack), it.vm.clone())
+        let n_after = n_led.get(it.vm).copied().unwrap_or(0) + 1;
+        (n_after * 1_000_000 / it.weight.max(1), digest(it.vm, &cell.rack), it.vm)
     })
 }
 
@@ -112,11 +118,12 @@
 /// has an entry again, then one that evens out the load within its own.
 pub fn cell_to_hand_off(
     own: &VmName,
-    candidates: &[LeaderCandidate],
+    candidates: &[LeaderCandidate<'_>],
 ) -> Option<(CellName, VmName)> {
-    let leader = candidates.iter().find(|it| it.vm == *own)?;
-    let remote = leader.cells.keys().find(|it| it.centre != leader.centre).and_then(|cell| {
-        let local = candidates.iter().find(|it| it.centre == cell.centre && !it.stopping)?;
+    let leader = candidates.iter().find(|it| it.vm == own)?;
+    let mut cells = leader.cells.iter().map(|(cell, _)| *cell);
+    let remote = cells.find(|it| it.centre != *leader.centre).and_then(|cell| {
+        let local = candidates.iter().find(|it| *it.centre == cell.centre && !it.stopping)?;
         Some((cell.clone(), local.vm.clone()))
     });
     if remote.is_some() {
@@ -126,13 +133,14 @@
     let own_share = share(leader.cells.len(), leader.weight);
     let successor = candidates
         .iter()
-        .filter(|it| it.centre == leader.centre && !it.stopping && it.vm != *own)
-        .min_by_key(|it| (share(it.cells.len(), it.weight), it.vm.clone()))?;
+        .filter(|it| it.centre == leader.centre && !it.stopping && it.vm != own)
+        .min_by_key(|it| (share(it.cells.len(), it.weight), it.vm))?;
     let is_surplus = successor.cells.len() + MIN_SURPLUS as usize <= leader.cells.len();
     if !is_surplus || own_share <= share(successor.cells.len() + 1, successor.weight) {
         return None;
     }
-    Some((leader.cells.keys().next()?.clone(), successor.vm.clone()))
+    let (cell, _) = leader.cells.first()?;
+    Some(((*cell).clone(), successor.vm.clone()))
 }
 
 fn digest(vm: &VmName, salt: &str) -> u64 {
--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -5,9 +5,12 @@
 //! sequence number is newer. A later incarnation replaces an earlier one under the same name
 //! or at the same address. Leaving is final for an incarnation.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use crate::{cell::job_offer::ResourceAmount, prelude::*};
+use crate::{
+    cell::{cell_message::CellName, job_offer::ResourceAmount},
+    prelude::*,
+};
 
 /// An endpoint as it announced itself.
 #[derive(Data!)]
@@ -35,6 +38,20 @@
 }
 
 impl EndpointRecord {
+    /// Name of the cell that it belongs to.
+    pub fn cell(&self) -> CellName {
+        CellName {
+            service: self.service.clone(),
+            centre: self.centre.clone(),
+            rack: self.rack.clone(),
+        }
+    }
+
+    /// Whether it belongs to `cell`.
+    fn is_in(&self, cell: &CellName) -> bool {
+        (&self.service, &self.centre, &self.rack) == (&cell.service, &cell.centre, &cell.rack)
+    }
+
     /// Whether this announcement is newer than `known`, of the same endpoint.
     fn is_newer_than(&self, known: &EndpointRecord) -> bool {
         (known.incarnation, known.seq) < (self.incarnation, self.seq)
@@ -78,6 +95,9 @@
     entries: IndexMap<EndpointName, DirectoryEntry>,
     /// Latest endpoint to start at each address.
     names_by_address: IndexMap<String, EndpointName>,
+    /// Live endpoints by cell: a scan over all endpoints for each heartbeat would cost a large
+    /// fleet more than its jobs.
+    names_by_cell: IndexMap<CellName, IndexSet<EndpointName>>,
 }
 
 impl EndpointDirectory {
@@ -91,6 +111,17 @@
         self.entries.values().filter(|it| !it.gone).map(|it| &it.record)
     }
 
+    /// Cells with a live endpoint.
+    pub fn cells(&self) -> impl Iterator<Item = &CellName> {
+        self.names_by_cell.keys()
+    }
+
+    /// Live endpoints of a cell.
+    pub fn endpoints_of(&self, cell: &CellName) -> impl Iterator<Item = &EndpointRecord> {
+        let names = self.names_by_cell.get(cell).into_iter().flatten();
+        names.filter_map(|it| self.entries.get(it)).map(|it| &it.record)
+    }
+
     /// Applies an announcement by the endpoint itself.
     pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> DirectoryChange {
         self.apply(record, true, now)
@@ -130,6 +161,7 @@
             }
         }
         self.assign_address(&record);
+        self.assign_cell(&record);
         let entry =
             DirectoryEntry { gone: false, last_contact_at: now, sent_at, is_direct, record };
         self.entries.insert(entry.record.name.clone(), entry);
@@ -152,10 +184,22 @@
             && entry.record.address == record.address
         {
             entry.gone = true;
+            remove_from_cell(&mut self.names_by_cell, &entry.record);
         }
         self.names_by_address.insert(record.address.clone(), record.name.clone());
     }
 
+    /// Lists an endpoint under its cell, and no longer under a former one.
+    fn assign_cell(&mut self, record: &EndpointRecord) {
+        let cell = record.cell();
+        if let Some(known) = self.entries.get(&record.name)
+            && !known.record.is_in(&cell)
+        {
+            remove_from_cell(&mut self.names_by_cell, &known.record);
+        }
+        self.names_by_cell.entry(cell).or_default().insert(record.name.clone());
+    }
+
     /// Marks an endpoint as gone, unless it has a later incarnation than the given one.
     pub fn mark_gone(&mut self, name: &EndpointName, incarnation: Option<u64>) -> DirectoryChange {
         match self.entries.get_mut(name) {
@@ -164,6 +208,7 @@
             {
                 entry.gone = true;
                 entry.sent_at = ClockTime::default();
+                remove_from_cell(&mut self.names_by_cell, &entry.record);
                 DirectoryChange::Changed
             }
             _ => DirectoryChange::Same,
@@ -209,14 +254,32 @@
     /// Drops endpoints without an announcement or update within `timeout_ms`; returns their names.
     pub fn expire(&mut self, timeout_ms: u64, now: ClockTime) -> Vec<EndpointName> {
         let is_expired = |it: &DirectoryEntry| timeout_ms < now.since_ms(it.last_contact_at);
-        let expired: Vec<EndpointName> = self
-            .entries
-            .iter()
-            .filter(|(_, it)| is_expired(it))
-            .map(|(name, _)| name.clone())
-            .collect();
-        self.entries.retain(|_, it| !is_expired(it));
+        let mut expired = Vec::new();
+        self.entries.retain(|name, it| {
+            let is_kept = !is_expired(it);
+            if !is_kept {
+                remove_from_cell(&mut self.names_by_cell, &it.record);
+                expired.push(name.clone());
+            }
+            is_kept
+        });
+        if expired.is_empty() {
+            return expired;
+        }
         self.names_by_address.retain(|_, name| self.entries.contains_key(name));
         expired
     }
 }
+
+fn remove_from_cell(
+    names_by_cell: &mut IndexMap<CellName, IndexSet<EndpointName>>,
+    record: &EndpointRecord,
+) {
+    let cell = record.cell();
+    if let Some(names) = names_by_cell.get_mut(&cell) {
+        names.shift_remove(&record.name);
+        if names.is_empty() {
+            names_by_cell.swap_remove(&cell);
+        }
+    }
+}
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -7,6 +7,7 @@
         cell_message::{CellMessage, CellName},
         cell_node::{CellNode, LedCell, ORDERS_PER_CELL, PEER_TIMEOUT_MS},
         decision_record::{DecisionEvent, DecisionRecord},
+        endpoint_directory::EndpointRecord,
     },
     prelude::*,
     vm_layout::VmRole,
@@ -45,33 +46,27 @@
 
 impl CellNode {
     /// This entry and the live peers that may lead cells.
-    pub(super) fn candidates(&self, now: ClockTime) -> Vec<LeaderCandidate> {
-        let own_cells =
-            self.led.iter().map(|(name, it)| (name.clone(), it.dispatcher.token())).collect();
+    pub(super) fn candidates(&self, now: ClockTime) -> Vec<LeaderCandidate<'_>> {
         let mut candidates = vec![LeaderCandidate {
-            vm: self.settings.owner.vm.clone(),
-            centre: self.settings.centre.clone(),
+            vm: &self.settings.owner.vm,
+            centre: &self.settings.centre,
             weight: self.settings.weight,
             stopping: self.stopping,
-            cells: own_cells,
+            cells: self.led.iter().map(|(name, it)| (name, it.dispatcher.token())).collect(),
         }];
         for (vm, peer) in &self.peers {
+            let heartbeat = &peer.heartbeat;
             // A peer that has just started gets the routes soon.
             let is_new = now.since_ms(peer.found_at) < PLAN_WAIT_MS;
-            let may_lead = is_new || 0 < peer.heartbeat.plan_version;
-            let is_entry = peer.heartbeat.role == VmRole::Entry && may_lead;
+            let may_lead = is_new || 0 < heartbeat.plan_version;
+            let is_entry = heartbeat.role == VmRole::Entry && may_lead;
             if is_entry && !peer.is_lost && now.since_ms(peer.last_contact_at) <= PEER_TIMEOUT_MS {
                 candidates.push(LeaderCandidate {
-                    vm: vm.clone(),
-                    centre: peer.heartbeat.centre.clone(),
-                    weight: peer.heartbeat.weight,
-                    stopping: peer.heartbeat.stopping,
-                    cells: peer
-                        .heartbeat
-                        .cells
-                        .iter()
-                        .map(|it| (it.cell.clone(), it.token))
-                        .collect(),
+                    vm,
+                    centre: &heartbeat.centre,
+                    weight: heartbeat.weight,
+                    stopping: heartbeat.stopping,
+                    cells: heartbeat.cells.iter().map(|it| (&it.cell, it.token)).collect(),
                 });
             }
         }
@@ -90,9 +85,8 @@
         if self.stopping || !has_routes || !may_claim {
             return;
         }
-        let cells = self.cells();
         let candidates = self.candidates(now);
-        for (cell, vm) in cell_leadership::assign_cells(cells.keys(), &candidates) {
+        for (cell, vm) in cell_leadership::assign_cells(self.directory.cells(), &candidates) {
             if vm != self.settings.owner.vm || self.led.contains_key(&cell) {
                 continue;
             }
@@ -131,7 +125,7 @@
         let is_known = self.knows_endpoints(cell, now);
         let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, is_known)
             .with_off_rack_milli(self.settings.off_rack_milli);
-        let records = self.cells().swap_remove(cell).unwrap_or_default();
+        let records: Vec<EndpointRecord> = self.directory.endpoints_of(cell).cloned().collect();
         let record = DecisionRecord::new(now, DecisionEvent::CellClaimed, cell.to_string(), reason);
         self.log_decision(record.with("token", token).with("endpoints", records.len() as u64));
         dispatcher.set_endpoints(&records, now);
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -1,7 +1,5 @@
 //! Messages and heartbeats that an entry receives, and its view of peers, endpoints and routes.
 
-use indexmap::IndexMap;
-
 use crate::{
     cell::{
         cell_message::{CellHeartbeat, CellMessage, CellName},
@@ -125,21 +123,11 @@
         self.has_endpoint_updates |= is_changed;
     }
 
-    /// Live endpoints by cell.
-    pub(super) fn cells(&self) -> IndexMap<CellName, Vec<EndpointRecord>> {
-        let mut cells: IndexMap<CellName, Vec<EndpointRecord>> = IndexMap::new();
-        for record in self.directory.live() {
-            cells.entry(cell_of(record)).or_default().push(record.clone());
-        }
-        cells
-    }
-
     /// Applies the directory to the led cells and claims cells that are new.
     pub(super) fn apply_endpoints(&mut self, now: ClockTime) {
-        let cells = self.cells();
         for (name, led) in &mut self.led {
-            let records = cells.get(name).map_or(&[][..], |it| it.as_slice());
-            led.dispatcher.set_endpoints(records, now);
+            let records: Vec<EndpointRecord> = self.directory.endpoints_of(name).cloned().collect();
+            led.dispatcher.set_endpoints(&records, now);
         }
         self.claim_cells(now);
     }
@@ -300,11 +288,3 @@
         self.claim_cells(now);
     }
 }
-
-fn cell_of(record: &EndpointRecord) -> CellName {
-    CellName {
-        service: record.service.clone(),
-        centre: record.centre.clone(),
-        rack: record.rack.clone(),
-    }
-}
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -51,14 +51,17 @@
     }
 }
 
-fn candidate(name: &str, cells: &[(&CellName, u64)], stopping: bool) -> LeaderCandidate {
-    LeaderCandidate {
-        vm: VmName::from(name),
-        centre: DataCentre::from("munich"),
-        weight: 250,
-        stopping,
-        cells: cells.iter().map(|(cell, token)| ((*cell).clone(), *token)).collect(),
-    }
+fn candidate<'a>(
+    owner: &'a (VmName, DataCentre),
+    cells: &[(&'a CellName, u64)],
+    stopping: bool,
+) -> LeaderCandidate<'a> {
+    let (vm, centre) = owner;
+    LeaderCandidate { vm, centre, weight: 250, stopping, cells: cells.to_vec() }
+}
+
+fn owner(name: &str) -> (VmName, DataCentre) {
+    (VmName::from(name), DataCentre::from("munich"))
 }
 
 fn cell(rack: &str) -> CellName {
@@ -226,19 +229,21 @@
 
 #[test]
 fn live_leader_keeps_its_cells() {
+    let (a, b) = (owner("a"), owner("b"));
     let cells = [cell("r1"), cell("r2")];
     let candidates =
-        [candidate("a", &[(&cells[0], 5), (&cells[1], 6)], false), candidate("b", &[], false)];
+        [candidate(&a, &[(&cells[0], 5), (&cells[1], 6)], false), candidate(&b, &[], false)];
     assert_eq!(cell_leadership::assign_cells(cells.iter(), &candidates), []);
 }
 
 #[test]
 fn cells_of_a_stopping_leader_are_distributed() {
+    let (a, b, c) = (owner("a"), owner("b"), owner("c"));
     let cells = [cell("r1"), cell("r2")];
     let candidates = [
-        candidate("a", &[(&cells[0], 5), (&cells[1], 6)], true),
-        candidate("b", &[], false),
-        candidate("c", &[], false),
+        candidate(&a, &[(&cells[0], 5), (&cells[1], 6)], true),
+        candidate(&b, &[], false),
+        candidate(&c, &[], false),
     ];
     let assigned = cell_leadership::assign_cells(cells.iter(), &candidates);
     let mut successors: Vec<&str> = assigned.iter().map(|(_, vm)| vm.as_str()).collect();
@@ -248,12 +253,13 @@
 
 #[test]
 fn surplus_cell_is_handed_off_to_the_least_loaded_entry() {
+    let (a, b) = (owner("a"), owner("b"));
     let cells = [cell("r1"), cell("r2"), cell("r3")];
     let led: Vec<(&CellName, u64)> = cells.iter().map(|it| (it, 5)).collect();
-    let candidates = [candidate("a", &led, false), candidate("b", &[], false)];
+    let candidates = [candidate(&a, &led, false), candidate(&b, &[], false)];
     let handed_off = cell_leadership::cell_to_hand_off(&VmName::from("a"), &candidates);
     assert_eq!(handed_off.map(|(_, vm)| vm), Some(VmName::from("b")));
-    let even = [candidate("a", &led[..2], false), candidate("b", &led[2..], false)];
+    let even = [candidate(&a, &led[..2], false), candidate(&b, &led[2..], false)];
     assert_eq!(cell_leadership::cell_to_hand_off(&VmName::from("a"), &even), None);
 }
 
