cell: unstarted jobs are placed newest first

Jobs were placed by least slack: under overload each begins when its slack is used up, and then ends just after its objective. Change: begun jobs first, by least slack; of the others that can end in time the newest. Test: jobs_served_under_overload_mostly_end_in_time, which failed before.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -87,6 +87,11 @@
 }
 
 impl CellJob {
+    /// When its caller submitted it.
+    pub(super) fn submitted_at(&self) -> ClockTime {
+        self.arrived_at.minus_ms(self.offer.age_ms)
+    }
+
     pub(super) fn step_is_ready(&self, step: u32) -> bool {
         let is_done = |after: &u32| {
             let mut tasks = self.tasks.iter().filter(|it| it.task.step == *after);
--- a/lib/src/cell/dispatch_waits.rs
+++ b/lib/src/cell/dispatch_waits.rs
@@ -13,9 +13,10 @@
 /// Maximum number of jobs at a leader, so that a burst does not exhaust memory.
 const MAX_JOBS: usize = 4_096;
 
-/// Whether a job can still meet its objective or be of use at all.
+/// Whether a job has begun, can still meet its objective, or can be of use at all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum RankGroup {
+    Begun,
     InTime,
     Late,
     Expired,
@@ -28,9 +29,10 @@
 impl CellDispatcher {
     /// Returns the rank of a job; lower ranks are placed first.
     ///
-    /// Jobs that can end in time come first, by least slack, together with jobs that have
-    /// begun, whose work would be lost. Of the late jobs the newest comes first, so that the
-    /// others are refused early instead of all being served too late.
+    /// Jobs that have begun come first, by least slack, as their work would be lost. Of the
+    /// others the newest comes first: by least slack, each would start so late under overload
+    /// that most ended just after their objective. Those that can still end in time go before
+    /// the late ones, which use what room is left and are refused early.
     pub(super) fn rank(&self, job: &CellJob, now: ClockTime) -> JobRank {
         let critical_path_ms = self.critical_path_ms(job);
         let start_by = job.due_at.minus_ms(critical_path_ms);
@@ -38,8 +40,10 @@
         let useful_until = if has_begun { job.caller_deadline } else { job.useful_until };
         if useful_until < now.plus_ms(critical_path_ms) {
             JobRank(RankGroup::Expired, start_by.0)
-        } else if has_begun || now <= start_by {
-            JobRank(RankGroup::InTime, start_by.0)
+        } else if has_begun {
+            JobRank(RankGroup::Begun, start_by.0)
+        } else if now <= start_by {
+            JobRank(RankGroup::InTime, u64::MAX - job.submitted_at().0)
         } else {
             JobRank(RankGroup::Late, u64::MAX - start_by.0)
         }
--- a/testutils/tests/test_load_patterns.rs
+++ b/testutils/tests/test_load_patterns.rs
@@ -36,3 +36,28 @@
     // What has begun is not left to starve behind newer jobs.
     assert_eq!(short.n_given_up, 0, "{short:?}");
 }
+
+/// Callers ask for half as much again as the endpoints can run, as in a burst while a third of
+/// them is cut off. Served by least slack, each job would begin when its slack is used up, and
+/// most would end just after their objective.
+#[test]
+fn jobs_served_under_overload_mostly_end_in_time() {
+    let kind = |route, per_s, n_tasks, work_ms, priority| LoadKind {
+        route,
+        per_s,
+        n_tasks,
+        work_ms,
+        cpu: 32_000,
+        priority,
+        racks: Vec::new(),
+    };
+    let kinds = vec![kind("middle", 230.0, 2, 200, 1), kind("long", 14.4, 4, 900, 2)];
+    let plan = LoadPlan { cpu: 64_000, ..plan(kinds) };
+    for seed in 1..=3 {
+        let mut world = LoadWorld::new(seed, &plan);
+        world.run();
+        for (route, it) in &world.outcomes {
+            assert!(it.n_late < it.n_in_time, "{route}, seed {seed}: {it:?}");
+        }
+    }
+}
