cell: heartbeats between data centres are relayed in digests

Cause: each entry sent its heartbeat to every other one each 120 or 240 ms: on the large site an entry receives some 580 datagrams a second, and the fleet's number grows with the square of its entries. Change: within a data centre as before; between data centres two entries, chosen by rendezvous hashing, relay the heartbeats of theirs to each remote entry each 240 ms. Claims and stops are still told to all at once, and every 16th heartbeat goes directly, for the clock differences. A datagram for several VMs is encoded once, that of control VMs too. Ruled out: one relay for each data centre (its processor and its loss).

--- a/adapters/src/cell_service.rs
+++ b/adapters/src/cell_service.rs
@@ -262,6 +262,9 @@
             PeerInput::Datagram(from, PeerDatagram::CellHeartbeat(heartbeat)) => {
                 self.node.handle_heartbeat(&from, heartbeat, now);
             }
+            PeerInput::Datagram(from, PeerDatagram::HeartbeatDigest(digest)) => {
+                self.node.handle_digest(&from, digest, now);
+            }
             PeerInput::ConnectionLost(vm) => self.node.handle_connection_loss(&vm, now),
             PeerInput::Message(..) | PeerInput::Datagram(..) => {}
         }
@@ -279,8 +282,11 @@
                     });
                 }
                 NodeEffect::Send(vm, message) => self.link.send(&vm, &PeerMessage::Cell(message)),
-                NodeEffect::Heartbeat(vm, heartbeat) => {
-                    self.link.send_datagram(&vm, &PeerDatagram::CellHeartbeat(heartbeat));
+                NodeEffect::Heartbeat(vms, heartbeat) => {
+                    self.link.send_datagrams(&vms, &PeerDatagram::CellHeartbeat(heartbeat));
+                }
+                NodeEffect::Digest(vms, digest) => {
+                    self.link.send_datagrams(&vms, &PeerDatagram::HeartbeatDigest(digest));
                 }
                 NodeEffect::Answer(call, result) => {
                     if let Some(reply) = self.calls.swap_remove(&call) {
--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -323,8 +323,8 @@
                 ControlEffect::SendDatagram(vm, datagram) => {
                     self.link.send_datagram(&vm, &datagram);
                 }
-                ControlEffect::SendCellHeartbeat(vm, heartbeat) => {
-                    self.link.send_datagram(&vm, &PeerDatagram::CellHeartbeat(heartbeat));
+                ControlEffect::SendCellHeartbeat(vms, heartbeat) => {
+                    self.link.send_datagrams(&vms, &PeerDatagram::CellHeartbeat(heartbeat));
                 }
                 ControlEffect::AnswerPlanRead(number, result) => {
                     if let Some(reply) = self.reads.swap_remove(&number) {
--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -232,15 +232,22 @@
 
     /// Sends a message by UDP.
     pub fn send_datagram(&mut self, to: &VmName, datagram: &PeerDatagram) {
-        if self.is_cut_to(to) {
-            return;
-        }
+        self.send_datagrams(std::slice::from_ref(to), datagram);
+    }
+
+    /// Sends a message to several VMs by UDP; it is encoded once.
+    pub fn send_datagrams(&mut self, to: &[VmName], datagram: &PeerDatagram) {
         let frame = self.seal(datagram);
-        self.n_sent += 1;
-        self.n_sent_bytes += frame.len() as u64;
-        if let Some(address) = self.addresses.address(to) {
-            // Datagrams may be lost; the protocols above tolerate it.
-            let _ = self.socket.try_send_to(&frame, address);
+        for vm in to {
+            if self.is_cut_to(vm) {
+                continue;
+            }
+            self.n_sent += 1;
+            self.n_sent_bytes += frame.len() as u64;
+            if let Some(address) = self.addresses.address(vm) {
+                // Datagrams may be lost; the protocols above tolerate it.
+                let _ = self.socket.try_send_to(&frame, address);
+            }
         }
     }
 
--- a/lib/src/cell/cell_message.rs
+++ b/lib/src/cell/cell_message.rs
@@ -96,3 +96,12 @@
     /// Cells that it leads.
     pub cells: Vec<CellReport>,
 }
+
+/// Heartbeats of the entries of a data centre, relayed to another one by UDP.
+#[derive(Data!)]
+pub struct HeartbeatDigest {
+    /// Send time on the relay's clock.
+    pub sent_at: ClockTime,
+    /// Last heartbeat of each entry, with its age at the relay, in ms.
+    pub heartbeats: Vec<(CellHeartbeat, u64)>,
+}
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -11,7 +11,7 @@
 use crate::{
     cell::{
         cell_dispatcher::{CellDispatcher, CellEffect},
-        cell_message::{CellHeartbeat, CellMessage, CellName},
+        cell_message::{CellHeartbeat, CellMessage, CellName, HeartbeatDigest},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_directory::EndpointDirectory,
         endpoint_order::{EndpointOrder, OrderNumber, OrderOutcome},
@@ -19,7 +19,6 @@
         job_router::{CellView, JobRouter},
         route_plan::RoutePlan,
     },
-    config_state::ControlGroup,
     entry_node::CallNumber,
     job_ledger::OwnerId,
     prelude::*,
@@ -28,8 +27,6 @@
 
 /// Interval between heartbeats to other VMs.
 const HEARTBEAT_MS: u64 = 120;
-/// Control VMs and entries of other data centres get every n-th heartbeat only.
-const REMOTE_HEARTBEAT_INTERVAL: u64 = 2;
 /// Time without a heartbeat after which a VM counts as lost: more than five intervals.
 pub(super) const PEER_TIMEOUT_MS: u64 = 700;
 /// Time without a heartbeat after which a VM whose connections broke counts as lost.
@@ -78,8 +75,10 @@
     Order(EndpointOrder),
     /// Send a message by TCP.
     Send(VmName, CellMessage),
-    /// Send a heartbeat by UDP.
-    Heartbeat(VmName, CellHeartbeat),
+    /// Send a heartbeat to these VMs by UDP.
+    Heartbeat(Vec<VmName>, CellHeartbeat),
+    /// Relay heartbeats to these VMs by UDP.
+    Digest(Vec<VmName>, HeartbeatDigest),
     /// Answer a call with the result of its job.
     Answer(CallNumber, JobResult),
     /// Write a decision to the log.
@@ -127,6 +126,11 @@
     pub(super) views: IndexMap<CellName, CellView>,
     pub(super) router: JobRouter,
     pub(super) n_heartbeats: u64,
+    /// Whether this entry claimed a cell or began to stop since its last heartbeat.
+    pub(super) has_leadership_news: bool,
+    /// Entries of other data centres to which this one relays heartbeats; none if VMs have
+    /// started or were lost since it was determined.
+    pub(super) relay_recipients: Option<Vec<VmName>>,
     pub(super) next_heartbeat_at: ClockTime,
     pub(super) active_at: ClockTime,
     pub(super) resumes_at: ClockTime,
@@ -161,6 +165,8 @@
             views: IndexMap::new(),
             router: JobRouter::default(),
             n_heartbeats: 0,
+            has_leadership_news: false,
+            relay_recipients: None,
             next_heartbeat_at: now,
             active_at: now,
             resumes_at: now,
@@ -212,6 +218,11 @@
         self.led.values().map(|it| it.dispatcher.n_jobs()).sum()
     }
 
+    /// Number of VMs that are not lost.
+    pub fn n_live_peers(&self) -> usize {
+        self.peers.values().filter(|it| !it.is_lost).count()
+    }
+
     /// Number of live endpoints.
     pub fn n_endpoints(&self) -> usize {
         self.directory.live().count()
@@ -315,8 +326,11 @@
 
     pub(super) fn tick_peers(&mut self, now: ClockTime) {
         let is_silent = |it: &PeerView| {
-            let limit_ms =
-                if it.broken_at.is_some() { BROKEN_PEER_TIMEOUT_MS } else { PEER_TIMEOUT_MS };
+            // Relayed heartbeats are too rare for the shorter time.
+            let is_relayed =
+                it.heartbeat.role == VmRole::Entry && it.heartbeat.centre != self.settings.centre;
+            let is_broken = it.broken_at.is_some() && !is_relayed;
+            let limit_ms = if is_broken { BROKEN_PEER_TIMEOUT_MS } else { PEER_TIMEOUT_MS };
             !it.is_lost && limit_ms < now.since_ms(it.last_contact_at)
         };
         let lost: Vec<VmName> =
@@ -376,21 +390,6 @@
         }
     }
 
-    pub(super) fn heartbeat(&self, now: ClockTime) -> CellHeartbeat {
-        CellHeartbeat {
-            owner: self.settings.owner.clone(),
-            sent_at: now,
-            role: VmRole::Entry,
-            centre: self.settings.centre.clone(),
-            weight: self.settings.weight,
-            plan_version: self.plan.as_ref().map_or(0, |it| it.version),
-            stopping: self.stopping,
-            members: Vec::new(),
-            group: ControlGroup::default(),
-            cells: self.led.values().map(|it| it.dispatcher.report(now)).collect(),
-        }
-    }
-
     pub(super) fn refresh_own_views(&mut self, now: ClockTime) {
         for (cell, led) in &self.led {
             let view = CellView {
@@ -404,28 +403,6 @@
         }
     }
 
-    pub(super) fn send_heartbeats(&mut self, now: ClockTime) {
-        self.refresh_own_views(now);
-        let heartbeat = self.heartbeat(now);
-        self.n_heartbeats += 1;
-        let includes_remote = self.n_heartbeats.is_multiple_of(REMOTE_HEARTBEAT_INTERVAL);
-        let mut to: Vec<VmName> = Vec::new();
-        for (vm, peer) in &self.peers {
-            let is_local_entry = peer.heartbeat.role == VmRole::Entry
-                && peer.heartbeat.centre == self.settings.centre;
-            let leads = !heartbeat.cells.is_empty() && peer.heartbeat.role == VmRole::Entry;
-            if is_local_entry || leads || includes_remote {
-                to.push(vm.clone());
-            }
-        }
-        if includes_remote {
-            to.extend(self.controls.iter().filter(|it| !self.peers.contains_key(*it)).cloned());
-        }
-        for vm in to {
-            self.effects.push(NodeEffect::Heartbeat(vm, heartbeat.clone()));
-        }
-    }
-
     pub(super) fn run_effects(&mut self, now: ClockTime) {
         loop {
             let mut effects = Vec::new();
--- a/lib/src/cell/membership_service.rs
+++ b/lib/src/cell/membership_service.rs
@@ -95,7 +95,8 @@
         live.map(|vm| (vm, CellMessage::Endpoints(updates.clone()))).collect()
     }
 
-    /// The heartbeats to send: to live VMs, and to seeds and group members that were not heard.
+    /// The heartbeat to send, and to whom: live VMs, and seeds and group members that were not
+    /// heard.
     pub fn heartbeats(
         &self,
         plan_version: u64,
@@ -103,7 +104,7 @@
         stopping: bool,
         seeds: &[VmName],
         now: ClockTime,
-    ) -> Vec<(VmName, CellHeartbeat)> {
+    ) -> (Vec<VmName>, CellHeartbeat) {
         let members: Vec<VmName> =
             self.live_peers(now).map(|(it, _)| it.owner.vm.clone()).collect();
         let heartbeat = CellHeartbeat {
@@ -122,6 +123,6 @@
         let mut to: Vec<VmName> = members.iter().chain(unheard).cloned().collect();
         to.retain(|it| *it != self.owner.vm);
         to.dedup();
-        to.into_iter().map(|vm| (vm, heartbeat.clone())).collect()
+        (to, heartbeat)
     }
 }
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -136,6 +136,7 @@
         self.router.handle_new_leader(cell, &own, now);
         self.run_effects(now);
         self.route_unassigned(now);
+        self.has_leadership_news = true;
         self.next_heartbeat_at = now;
     }
 
@@ -163,6 +164,7 @@
     /// Hands off every cell and claims no new ones, as the process shuts down.
     pub fn stop(&mut self, now: ClockTime) {
         self.stopping = true;
+        self.has_leadership_news = true;
         let record = DecisionRecord::new(now, DecisionEvent::ReadyChanged, "process", "stops");
         self.log_decision(record.with("cells", self.led.len() as u64));
         self.hand_off_all(now);
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -1,9 +1,9 @@
-//! Messages and heartbeats that an entry receives, and its view of peers, endpoints and routes.
+//! Messages that an entry receives, and its view of peers, endpoints and routes.
 
 use crate::{
     cell::{
         cell_message::{CellHeartbeat, CellMessage, CellName},
-        cell_node::{CellNode, NodeEffect, PeerView},
+        cell_node::CellNode,
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_directory::{DirectoryChange, EndpointRecord},
         job_offer::{JobOffer, JobResult},
@@ -18,9 +18,6 @@
 /// and have offered the job to another leader.
 const STALE_OFFER_MS: u64 = 500;
 
-/// Number of heartbeats whose minimum delay serves as the baseline for the clock difference.
-const OFFSET_SAMPLES: usize = 32;
-
 impl CellNode {
     /// Handles a message from another VM.
     pub fn handle_message(&mut self, from: &VmName, message: CellMessage, now: ClockTime) {
@@ -132,87 +129,6 @@
         self.claim_cells(now);
     }
 
-    /// Handles a heartbeat of another VM.
-    pub fn handle_heartbeat(&mut self, from: &VmName, heartbeat: CellHeartbeat, now: ClockTime) {
-        if heartbeat.owner.vm != *from || *from == self.settings.owner.vm {
-            return;
-        }
-        self.detect_stall(now);
-        if self.peers.values().all(|it| it.is_lost) {
-            self.joined_at = Some(now);
-        }
-        let known = self.peers.get(from);
-        let is_new_incarnation =
-            known.is_none_or(|it| it.heartbeat.owner.incarnation < heartbeat.owner.incarnation);
-        if known.is_some_and(|it| heartbeat.owner.incarnation < it.heartbeat.owner.incarnation) {
-            return;
-        }
-        let was_lost = known.is_none_or(|it| it.is_lost);
-        if is_new_incarnation && known.is_some() {
-            self.lose_peer(from, "another life", now);
-        }
-        if was_lost || is_new_incarnation {
-            self.last_peer_found_at = now;
-            let record = DecisionRecord::new(now, DecisionEvent::PeerFound, from.as_str(), "heard");
-            self.log_decision(record.with("plan_version", heartbeat.plan_version));
-        }
-        if heartbeat.role == VmRole::Control && !self.controls.contains(from) {
-            self.controls.push(from.clone());
-        }
-        self.greet_members(&heartbeat, now);
-        self.update_peer(from, &heartbeat, now);
-        for report in &heartbeat.cells {
-            self.highest_token = self.highest_token.max(report.token);
-        }
-        let mut offsets_ms = self
-            .peers
-            .get_mut(from)
-            .map(|it| std::mem::take(&mut it.offsets_ms))
-            .unwrap_or_default();
-        if is_new_incarnation {
-            offsets_ms.clear();
-        }
-        offsets_ms.push_back(now.0 as i64 - heartbeat.sent_at.0 as i64);
-        if OFFSET_SAMPLES < offsets_ms.len() {
-            offsets_ms.pop_front();
-        }
-        let found_at =
-            self.peers.get(from).filter(|_| !is_new_incarnation).map_or(now, |it| it.found_at);
-        let sent_at = heartbeat.sent_at;
-        let mut view = PeerView {
-            heartbeat,
-            last_contact_at: now,
-            found_at,
-            broken_at: None,
-            is_lost: false,
-            offsets_ms,
-        };
-        // A heartbeat that was queued while this process was paused is no proof that its sender
-        // is live now.
-        view.last_contact_at = now.minus_ms(view.delay_ms(sent_at, now));
-        self.peers.insert(from.clone(), view);
-        self.apply_reports(from, now);
-        if is_new_incarnation && self.directory.live().next().is_none() {
-            self.send(from, CellMessage::EndpointsRequest);
-        }
-        self.run_effects(now);
-    }
-
-    /// Sends a first heartbeat to unknown VMs that a control VM lists.
-    pub(super) fn greet_members(&mut self, heartbeat: &CellHeartbeat, now: ClockTime) {
-        for vm in &heartbeat.members {
-            if *vm != self.settings.owner.vm && !self.peers.contains_key(vm) {
-                let own = self.heartbeat(now);
-                self.effects.push(NodeEffect::Heartbeat(vm.clone(), own));
-            }
-        }
-        for vm in &heartbeat.group.vms {
-            if !self.controls.contains(vm) {
-                self.controls.push(vm.clone());
-            }
-        }
-    }
-
     /// Sends the routes to a peer with older ones when no control VM is reachable.
     pub(super) fn update_peer(&mut self, from: &VmName, heartbeat: &CellHeartbeat, now: ClockTime) {
         if heartbeat.role == VmRole::Entry
@@ -278,6 +194,7 @@
             return;
         }
         let silent_ms = now.since_ms(peer.last_contact_at);
+        self.relay_recipients = None;
         let record = DecisionRecord::new(now, DecisionEvent::PeerLost, vm.as_str(), reason);
         self.log_decision(record.with("silent_ms", silent_ms));
         self.router.handle_lost_leader(vm, now);
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -88,7 +88,7 @@
     /// The plan was read.
     AnswerPlanRead(CallNumber, Result<Option<StoredPlan>, RequestError>),
     /// Send a heartbeat by UDP, after all other effects.
-    SendCellHeartbeat(VmName, CellHeartbeat),
+    SendCellHeartbeat(Vec<VmName>, CellHeartbeat),
     /// The role has changed.
     RoleChanged(ReplicaRole),
     /// A configuration version is in force here.
@@ -490,13 +490,9 @@
         let GroupRule::Dynamic { seeds, .. } = &self.settings.group_rule else { return };
         let plan_version = self.state().plan().map_or(0, |it| it.plan.version);
         let group = self.state().group().clone();
-        let heartbeats =
+        let (vms, heartbeat) =
             self.membership.heartbeats(plan_version, &group, self.stopping, seeds, now);
-        self.effects.extend(
-            heartbeats
-                .into_iter()
-                .map(|(vm, heartbeat)| ControlEffect::SendCellHeartbeat(vm, heartbeat)),
-        );
+        self.effects.push(ControlEffect::SendCellHeartbeat(vms, heartbeat));
     }
 
     /// Proposes a change of the group by one VM, where one is due.
--- a/lib/src/entry_gossip.rs
+++ b/lib/src/entry_gossip.rs
@@ -25,7 +25,7 @@
                 }
                 self.peers.handle_heartbeat(heartbeat, now);
             }
-            PeerDatagram::CellHeartbeat(_) => {}
+            PeerDatagram::CellHeartbeat(_) | PeerDatagram::HeartbeatDigest(_) => {}
             PeerDatagram::EndpointUpdate(update) => {
                 let answer = self.endpoints.handle_update(update, now).unwrap_or_default();
                 for part in answer.into_parts() {
--- a/lib/src/peer_message.rs
+++ b/lib/src/peer_message.rs
@@ -1,7 +1,7 @@
 //! Messages between the processes of the system.
 
 use crate::{
-    cell::cell_message::{CellHeartbeat, CellMessage},
+    cell::cell_message::{CellHeartbeat, CellMessage, HeartbeatDigest},
     config_state::ConfigDelta,
     endpoint_table::EndpointUpdate,
     job_ledger::JobOutcome,
@@ -57,4 +57,6 @@
     EndpointUpdate(EndpointUpdate),
     /// Liveness of the sender and the cells that it leads.
     CellHeartbeat(CellHeartbeat),
+    /// Heartbeats that the sender relays from its data centre.
+    HeartbeatDigest(HeartbeatDigest),
 }
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -92,7 +92,7 @@
         node.tick(now);
         for effect in node.drain_effects() {
             if let NodeEffect::Heartbeat(to, heartbeat) = effect {
-                heartbeats.push((vm.clone(), to, heartbeat));
+                heartbeats.extend(to.into_iter().map(|it| (vm.clone(), it, heartbeat.clone())));
             }
         }
     }
@@ -476,3 +476,106 @@
     let waited_ms = now.since_ms(offered_at);
     assert!(trace.has_started && 1_000 < waited_ms, "after {waited_ms} ms");
 }
+
+/// A fleet of `n_centres` data centres of `n_entries` entries each, all of which know each other.
+fn fleet(n_centres: usize, n_entries: usize) -> IndexMap<VmName, CellNode> {
+    let mut nodes = IndexMap::new();
+    for centre in 0..n_centres {
+        for entry in 0..n_entries {
+            let vm = VmName(format!("entry-{centre}-{entry}"));
+            let settings = CellSettings {
+                owner: OwnerId { vm: vm.clone(), incarnation: 1 },
+                centre: DataCentre(format!("centre-{centre}")),
+                weight: 250,
+                controls: Vec::new(),
+                off_rack_milli: 2_000,
+            };
+            nodes.insert(vm, CellNode::new(settings, START));
+        }
+    }
+    let members: Vec<VmName> = nodes.keys().cloned().collect();
+    // The control VM is not heard again.
+    let control = heartbeat_of("control", VmRole::Control, members, START);
+    for node in nodes.values_mut() {
+        node.handle_heartbeat(&VmName::from("control"), control.clone(), START);
+    }
+    nodes
+}
+
+/// Ticks the live nodes and delivers their heartbeats and digests; returns the number of
+/// datagrams that each VM got.
+fn exchange_digests(
+    nodes: &mut IndexMap<VmName, CellNode>,
+    down: &[VmName],
+    now: ClockTime,
+) -> IndexMap<VmName, usize> {
+    let mut effects = Vec::new();
+    for (vm, node) in nodes.iter_mut().filter(|(vm, _)| !down.contains(*vm)) {
+        node.tick(now);
+        effects.extend(node.drain_effects().into_iter().map(|it| (vm.clone(), it)));
+    }
+    let mut n_received = IndexMap::new();
+    for (from, effect) in effects {
+        let (NodeEffect::Heartbeat(vms, _) | NodeEffect::Digest(vms, _)) = &effect else {
+            continue;
+        };
+        for vm in vms.iter().filter(|it| !down.contains(*it)) {
+            let Some(node) = nodes.get_mut(vm) else { continue };
+            *n_received.entry(vm.clone()).or_default() += 1;
+            match &effect {
+                NodeEffect::Heartbeat(_, it) => node.handle_heartbeat(&from, it.clone(), now),
+                NodeEffect::Digest(_, it) => node.handle_digest(&from, it.clone(), now),
+                _ => {}
+            }
+        }
+    }
+    n_received
+}
+
+/// A hundred entries in five data centres: a datagram from each to each other one, eight times a
+/// second, would take most of a small VM's processor.
+#[test]
+fn large_fleet_relays_heartbeats_between_data_centres() {
+    let mut nodes = fleet(5, 20);
+    let mut received: IndexMap<VmName, usize> = IndexMap::new();
+    let mut now = START;
+    for step in 0..800 {
+        now = now.plus_ms(10);
+        for (vm, n) in exchange_digests(&mut nodes, &[], now) {
+            // The first seconds include the greetings.
+            if 400 <= step {
+                *received.entry(vm).or_default() += n;
+            }
+        }
+    }
+    // 19 local entries at 8.3 a second, two relays in each of four data centres at 4.2, and 80
+    // direct heartbeats in two seconds.
+    let bound = 4 * (19 * 9 + 4 * 2 * 5 + 45);
+    let most = received.values().max().copied().unwrap_or(0);
+    assert!(most <= bound, "{most} datagrams in four seconds");
+    for node in nodes.values() {
+        assert_eq!(node.n_live_peers(), 99);
+    }
+}
+
+/// A relay dies: entries of other data centres must not count those that it relayed for as lost.
+#[test]
+fn lost_relay_delays_no_heartbeat_of_its_data_centre() {
+    let mut nodes = fleet(3, 6);
+    let mut now = START;
+    for _ in 0..400 {
+        now = now.plus_ms(10);
+        exchange_digests(&mut nodes, &[], now);
+    }
+    let down = [VmName::from("entry-0-2")];
+    for _ in 0..200 {
+        now = now.plus_ms(10);
+        exchange_digests(&mut nodes, &down, now);
+        for node in nodes.iter().filter(|(vm, _)| !down.contains(*vm)).map(|(_, it)| it) {
+            assert!(16 <= node.n_live_peers(), "{} live peers", node.n_live_peers());
+        }
+    }
+    for node in nodes.iter().filter(|(vm, _)| !down.contains(*vm)).map(|(_, it)| it) {
+        assert_eq!(node.n_live_peers(), 16);
+    }
+}
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -11,7 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use yuccamux::{
     cell::{
-        cell_message::{CellHeartbeat, CellMessage},
+        cell_message::{CellHeartbeat, CellMessage, HeartbeatDigest},
         cell_node::{CellNode, CellSettings, NodeEffect},
         endpoint_directory::EndpointRecord,
         endpoint_order::{EndpointOrder, OrderBody, OrderOutcome},
@@ -107,6 +107,7 @@
 enum WorldEvent {
     Message(VmName, VmName, u64, CellMessage),
     Beat(VmName, VmName, CellHeartbeat),
+    Digest(VmName, VmName, HeartbeatDigest),
     Broken(VmName, VmName),
     Order(VmName, u64, EndpointOrder, bool),
     Outcome(VmName, u64, EndpointOrder, OrderOutcome),
@@ -404,7 +405,9 @@
 
     fn take_traffic(&mut self, event: WorldEvent) {
         let to = match &event {
-            WorldEvent::Message(_, to, ..) | WorldEvent::Beat(_, to, _) => to.clone(),
+            WorldEvent::Message(_, to, ..)
+            | WorldEvent::Beat(_, to, _)
+            | WorldEvent::Digest(_, to, _) => to.clone(),
             WorldEvent::Broken(to, _) | WorldEvent::Outcome(to, ..) => to.clone(),
             WorldEvent::Withdraw(to, ..) | WorldEvent::Call(to, ..) => to.clone(),
             WorldEvent::Order(from, ..) => from.clone(),
@@ -441,6 +444,14 @@
                     }
                 });
             }
+            WorldEvent::Digest(from, to, digest) => {
+                let is_cut = self.is_cut(from.as_str(), to.as_str());
+                self.with_node(&to, |node, now| {
+                    if !is_cut {
+                        node.handle_digest(&from, digest, now);
+                    }
+                });
+            }
             WorldEvent::Broken(to, other) => {
                 self.with_node(&to, |node, now| node.handle_connection_loss(&other, now));
             }
@@ -548,9 +559,19 @@
                 }
             }
             NodeEffect::Heartbeat(to, beat) => {
-                if self.entries.contains_key(&to) && !self.is_cut(vm.as_str(), to.as_str()) {
-                    let at = self.now.plus_ms(self.link_ms(vm, &to));
-                    self.push(at, WorldEvent::Beat(vm.clone(), to, beat));
+                for to in to {
+                    if self.entries.contains_key(&to) && !self.is_cut(vm.as_str(), to.as_str()) {
+                        let at = self.now.plus_ms(self.link_ms(vm, &to));
+                        self.push(at, WorldEvent::Beat(vm.clone(), to, beat.clone()));
+                    }
+                }
+            }
+            NodeEffect::Digest(to, digest) => {
+                for to in to {
+                    if self.entries.contains_key(&to) && !self.is_cut(vm.as_str(), to.as_str()) {
+                        let at = self.now.plus_ms(self.link_ms(vm, &to));
+                        self.push(at, WorldEvent::Digest(vm.clone(), to, digest.clone()));
+                    }
                 }
             }
             NodeEffect::Answer(call, result) => self.answer(vm, call, result),
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -329,7 +329,7 @@
                 NodeEffect::LogDecision(note) => {
                     *self.notes.entry(note.event.name()).or_default() += 1
                 }
-                NodeEffect::Send(..) | NodeEffect::Heartbeat(..) => {}
+                NodeEffect::Send(..) | NodeEffect::Heartbeat(..) | NodeEffect::Digest(..) => {}
             }
         }
     }
