cell, control: entries find each other at once after a restart of all

Entries are up at 47.9, control VMs at 48.1 s, yet entries hear of each other only with the control VMs' next heartbeat at 48.56 and claim cells at 49.02 s; jobs accepted from 48.5 s on are refused after 400 ms although their cells have a leader a moment later. Change: a control VM answers the first heartbeat of a VM at once, entries answer a found entry, and send to control VMs at each heartbeat until they have heard anybody. A job without a leader waits while an answer is of use to its caller, a second at most; 400 ms if no endpoint of its service is known. Tests: the answers, and the waits of a short and a long job; each failed before.

--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -16,7 +16,7 @@
         endpoint_directory::EndpointDirectory,
         endpoint_order::{EndpointOrder, OrderNumber, OrderOutcome},
         job_offer::{JobCode, JobResult, RefusalCause},
-        job_router::{CellView, JobRouter},
+        job_router::{CellView, JobRouter, RoutedJob},
         route_plan::RoutePlan,
     },
     entry_node::CallNumber,
@@ -34,8 +34,13 @@
 /// Interval between keep-alives of a job to its leader: three fit into the time after
 /// which the leader cancels a job without one.
 const KEEP_ALIVE_MS: u64 = 300;
-/// Time for which a job that was never offered waits for a leader before it is refused.
-const LEADER_WAIT_MS: u64 = 400;
+/// Time for which a job that was never offered waits for a leader before it is refused, at most:
+/// a lost leader is followed within it, and after a restart of all VMs cells are claimed.
+const LEADER_WAIT_MS: u64 = 1_000;
+/// The same if no endpoint of the job's service is known.
+const UNKNOWN_SERVICE_WAIT_MS: u64 = 400;
+/// Time after which the caller of a job without a leader may try again.
+const LEADER_RETRY_MS: u64 = 400;
 /// Time after which a job whose leader was lost is answered as unknown: the leases of its
 /// runs have expired by then, so a resubmission by the caller can't overlap with them.
 const UNASSIGNED_TIMEOUT_MS: u64 = 1_200;
@@ -340,6 +345,18 @@
         }
     }
 
+    /// Time for which a job waits for a leader: while an answer would still be of use.
+    fn leader_wait_ms(&self, job: &RoutedJob) -> u64 {
+        let service = &job.offer.service;
+        if !self.directory.cells().any(|it| it.service == *service) {
+            return UNKNOWN_SERVICE_WAIT_MS;
+        }
+        let critical_path_ms = job.offer.declared_critical_path_ms();
+        let useful_until = job.received_at.plus_ms(job.offer.useful_ms(critical_path_ms));
+        let start_by = useful_until.min(job.caller_deadline).minus_ms(critical_path_ms);
+        start_by.since_ms(job.unassigned_since).min(LEADER_WAIT_MS)
+    }
+
     pub(super) fn tick_jobs(&mut self, now: ClockTime) {
         self.route_unassigned(now);
         let mut refused = Vec::new();
@@ -347,7 +364,7 @@
         let mut keep_alives = IndexMap::new();
         for (code, job) in &self.router.jobs {
             match (&job.leader, job.was_offered) {
-                (None, false) if LEADER_WAIT_MS <= now.since_ms(job.unassigned_since) => {
+                (None, false) if self.leader_wait_ms(job) <= now.since_ms(job.unassigned_since) => {
                     refused.push(*code);
                 }
                 (None, true) if UNASSIGNED_TIMEOUT_MS <= now.since_ms(job.unassigned_since) => {
@@ -366,7 +383,7 @@
             }
         }
         for code in refused {
-            let result = JobResult::Refused(RefusalCause::NoLeader, LEADER_WAIT_MS);
+            let result = JobResult::Refused(RefusalCause::NoLeader, LEADER_RETRY_MS);
             self.answer(code, result, now);
         }
         for code in unknown {
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -20,9 +20,6 @@
 /// How long a result is cached, in ms: the longest delay of a repeated offer.
 const RESULT_CACHE_MS: u64 = 20_000;
 
-/// An answer later than this many latency objectives has no value for the caller.
-const EXPIRED_OBJECTIVES: u64 = 3;
-
 /// Bounds of the retry delay that a refused caller is given, in ms.
 const RETRY_AFTER_MS: (u64, u64) = (200, 3_000);
 
@@ -90,13 +87,13 @@
             }
         }
         let critical_path_ms = self.times.critical_path_ms(&offer);
-        let objective_ms = critical_path_ms * offer.stretch_milli / 1000 + offer.slack_ms;
+        let submitted_at = now.minus_ms(offer.age_ms);
         CellJob {
             origin: origin.clone(),
             arrived_at: now,
-            due_at: now.minus_ms(offer.age_ms).plus_ms(objective_ms),
+            due_at: submitted_at.plus_ms(offer.objective_ms(critical_path_ms)),
             caller_deadline: now.plus_ms(offer.remaining_ms),
-            useful_until: now.minus_ms(offer.age_ms).plus_ms(objective_ms * EXPIRED_OBJECTIVES),
+            useful_until: submitted_at.plus_ms(offer.useful_ms(critical_path_ms)),
             last_keep_alive_at: now,
             n_left: tasks.len(),
             tasks,
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -4,6 +4,9 @@
 
 use crate::prelude::*;
 
+/// An answer later than this many latency objectives has no value for the caller.
+const EXPIRED_OBJECTIVES: u64 = 3;
+
 /// Id of a job, chosen by its caller.
 #[derive(Id!, Copy)]
 pub struct JobCode(pub u64);
@@ -120,6 +123,16 @@
 }
 
 impl JobOffer {
+    /// Latency objective, in ms, for a critical path of `critical_path_ms`.
+    pub fn objective_ms(&self, critical_path_ms: u64) -> u64 {
+        critical_path_ms * self.stretch_milli / 1000 + self.slack_ms
+    }
+
+    /// Time after its submission from which an answer has no value for the caller, in ms.
+    pub fn useful_ms(&self, critical_path_ms: u64) -> u64 {
+        self.objective_ms(critical_path_ms) * EXPIRED_OBJECTIVES
+    }
+
     /// Length of the critical path by declared run times, in ms.
     pub fn declared_critical_path_ms(&self) -> u64 {
         self.critical_path_ms(|declared_ms| declared_ms)
--- a/lib/src/cell/node_heartbeats.rs
+++ b/lib/src/cell/node_heartbeats.rs
@@ -48,7 +48,9 @@
         self.refresh_own_views(now);
         let heartbeat = self.heartbeat(now);
         self.n_heartbeats += 1;
-        let includes_remote = self.n_heartbeats.is_multiple_of(REMOTE_HEARTBEAT_INTERVAL);
+        // Control VMs tell an entry that starts of the others.
+        let includes_remote =
+            self.joined_at.is_none() || self.n_heartbeats.is_multiple_of(REMOTE_HEARTBEAT_INTERVAL);
         let includes_all = std::mem::take(&mut self.has_leadership_news)
             || self.n_heartbeats.is_multiple_of(DIRECT_HEARTBEAT_INTERVAL);
         let mut to: Vec<VmName> = Vec::new();
@@ -115,8 +117,10 @@
         }
         self.detect_stall(now);
         let sent_at = heartbeat.sent_at;
-        if self.apply_heartbeat(heartbeat, now).is_none() {
-            return;
+        let Some(is_found) = self.apply_heartbeat(heartbeat, now) else { return };
+        if is_found {
+            let own = self.heartbeat(now);
+            self.effects.push(NodeEffect::Heartbeat(vec![from.clone()], own));
         }
         if let Some(peer) = self.peers.get_mut(from) {
             peer.record_offset(sent_at, now);
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -420,6 +420,9 @@
         if self.membership.handle_heartbeat(heartbeat, now) {
             let message = PeerMessage::Cell(self.membership.endpoint_snapshot());
             self.effects.push(ControlEffect::Send(vm.clone(), message));
+            // A VM that starts learns of the others at once.
+            let (_, own) = self.cell_heartbeat(now);
+            self.effects.push(ControlEffect::SendCellHeartbeat(vec![vm.clone()], own));
         }
         if role == VmRole::Entry && self.node().role() == ReplicaRole::Leader {
             self.push_plan(&vm, version, now);
@@ -487,14 +490,21 @@
     }
 
     fn send_cell_heartbeats(&mut self, now: ClockTime) {
-        let GroupRule::Dynamic { seeds, .. } = &self.settings.group_rule else { return };
-        let plan_version = self.state().plan().map_or(0, |it| it.plan.version);
-        let group = self.state().group().clone();
-        let (vms, heartbeat) =
-            self.membership.heartbeats(plan_version, &group, self.stopping, seeds, now);
+        let (vms, heartbeat) = self.cell_heartbeat(now);
         self.effects.push(ControlEffect::SendCellHeartbeat(vms, heartbeat));
     }
 
+    /// The heartbeat of this VM, and who gets it.
+    fn cell_heartbeat(&self, now: ClockTime) -> (Vec<VmName>, CellHeartbeat) {
+        let seeds: &[VmName] = match &self.settings.group_rule {
+            GroupRule::Dynamic { seeds, .. } => seeds,
+            GroupRule::Static => &[],
+        };
+        let plan_version = self.state().plan().map_or(0, |it| it.plan.version);
+        let group = self.state().group();
+        self.membership.heartbeats(plan_version, group, self.stopping, seeds, now)
+    }
+
     /// Proposes a change of the group by one VM, where one is due.
     fn change_group(&mut self, now: ClockTime) {
         let GroupRule::Dynamic { n_wanted, .. } = &self.settings.group_rule else { return };
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -579,3 +579,49 @@
         assert_eq!(node.n_live_peers(), 16);
     }
 }
+
+/// All VMs restart: two entries that learn of each other must not wait for the next heartbeats.
+#[test]
+fn found_entry_is_answered_at_once() {
+    let (vm, mut node) = node("entry");
+    let other = VmName::from("other");
+    node.handle_heartbeat(&other, heartbeat_of("other", VmRole::Entry, Vec::new(), START), START);
+    let answered = node.drain_effects().into_iter().any(|it| match it {
+        NodeEffect::Heartbeat(to, heartbeat) => to == [other.clone()] && heartbeat.owner.vm == vm,
+        _ => false,
+    });
+    assert!(answered);
+}
+
+/// No entry leads the cells, as after a restart of all. A job waits while an answer would be of
+/// use to its caller, and no longer.
+#[test]
+fn job_waits_for_a_leader_while_it_can_be_of_use() {
+    let (_, mut node) = node("entry");
+    let control = VmName::from("control");
+    let far = EndpointRecord { centre: DataCentre::from("far"), ..record(1) };
+    node.handle_message(&control, CellMessage::Plan(RoutePlan::default()), START);
+    node.handle_message(&control, CellMessage::Endpoints(vec![(far, false)]), START);
+    for (code, declared_ms) in [(1, 60), (2, 900)] {
+        let mut offer = JobOffer { job: JobCode(code), remaining_ms: 3_000, ..job() };
+        offer.steps[0].declared_ms = declared_ms;
+        node.submit(CallNumber(code), offer, START);
+    }
+    let mut refused = IndexMap::new();
+    for step in 1..60 {
+        let now = START.plus_ms(step * 20);
+        for (name, role) in [("control", VmRole::Control), ("peer", VmRole::Entry)] {
+            let heartbeat = heartbeat_of(name, role, Vec::new(), now);
+            node.handle_heartbeat(&VmName::from(name), heartbeat, now);
+        }
+        node.tick(now);
+        for effect in node.drain_effects() {
+            if let NodeEffect::Answer(call, JobResult::Refused(..)) = effect {
+                refused.insert(call.0, step * 20);
+            }
+        }
+    }
+    // Three objectives of 156 ms, less the 60 ms that it runs; and a second at most.
+    assert_eq!(refused.get(&1), Some(&420));
+    assert_eq!(refused.get(&2), Some(&1_000));
+}
--- a/lib/tests/test_control_group.rs
+++ b/lib/tests/test_control_group.rs
@@ -1,8 +1,11 @@
 //! Membership of the control group across restarts.
 
 use yuccamux::{
+    cell::cell_message::CellHeartbeat,
+    config_state::ControlGroup,
     control_node::{ControlEffect, ControlNode, ControlSettings, GroupRule},
     job_ledger::OwnerId,
+    peer_message::PeerDatagram,
     prelude::*,
     replica_effect::{HardState, StoreEffect},
     replica_log::ReplicaLog,
@@ -70,3 +73,36 @@
         assert_ne!(control.node().role(), ReplicaRole::Leader);
     }
 }
+
+/// After a restart of all VMs no entry knows another one. Each must learn of the others from the
+/// answer to its first heartbeat, and not from the control VM's next one half a second later.
+#[test]
+fn entry_that_starts_learns_of_the_others_at_once() {
+    let mut control = ControlNode::new(settings(&["10.0.0.1"]), None, START);
+    control.tick(START);
+    let mut now = START;
+    for entry in ["10.0.0.7", "10.0.0.8"] {
+        control.drain_effects();
+        now = now.plus_ms(20);
+        let heartbeat = CellHeartbeat {
+            owner: OwnerId { vm: VmName::from(entry), incarnation: 1 },
+            sent_at: now,
+            role: VmRole::Entry,
+            centre: DataCentre::from("munich"),
+            weight: 250,
+            plan_version: 0,
+            stopping: false,
+            members: Vec::new(),
+            group: ControlGroup::default(),
+            cells: Vec::new(),
+        };
+        let datagram = PeerDatagram::CellHeartbeat(heartbeat);
+        control.handle_datagram(&VmName::from(entry), datagram, now);
+    }
+    let told = control.drain_effects().into_iter().find_map(|it| match it {
+        ControlEffect::SendCellHeartbeat(vms, heartbeat) => Some((vms, heartbeat.members)),
+        _ => None,
+    });
+    let (first, second) = (VmName::from("10.0.0.7"), VmName::from("10.0.0.8"));
+    assert_eq!(told, Some((vec![second.clone()], vec![first, second])));
+}
