--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -17,7 +17,6 @@
         job_offer::{JobCode, JobOffer, JobResult, ResourceAmount, TaskRef},
         local_load::LocalLoad,
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
-        typical_demand::TypicalDemand,
     },
     prelude::*,
 };
@@ -129,7 +128,6 @@
     pub(super) result_times: VecDeque<(ClockTime, CachedResult)>,
     pub(super) times: RouteTimes,
     pub(super) local_load: LocalLoad,
-    pub(super) typical_demand: TypicalDemand,
     /// Factor on the run time of a task outside the rack of its data, in thousandths.
     pub(super) off_rack_milli: u64,
     /// Whether every endpoint that a former leader may have used is known.
@@ -165,7 +163,6 @@
             result_times: VecDeque::new(),
             times: RouteTimes::default(),
             local_load: LocalLoad::default(),
-            typical_demand: TypicalDemand::default(),
             off_rack_milli: OFF_RACK_MILLI,
             endpoints_are_known,
             done_before_offer: IndexMap::new(),
@@ -231,7 +228,7 @@
         };
         for endpoint in self.endpoints.values() {
             if endpoint.accepts_starts(now) {
-                let free_cpu = self.typical_demand.placeable_cpu(endpoint.free_resources().cpu);
+                let free_cpu = endpoint.free_resources().cpu;
                 report.cpu += endpoint.record.capacity.cpu;
                 report.free_cpu += free_cpu;
                 if endpoint.speed.factor_milli(now) <= FAST_FACTOR_MILLI {
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -101,7 +101,6 @@
         task.phase = TaskPhase::Placed(name.clone());
         job.may_have_run = true;
         let demand = job.offer.steps[task.task.step as usize].demand;
-        self.typical_demand.record_start(demand.cpu);
         let run = EndpointRun {
             run: task.last_run,
             demand,
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -44,4 +44,3 @@
 mod node_peers;
 pub mod route_plan;
 pub mod run_forecast;
-mod typical_demand;
