cell: a VM whose clock went back before its process restarted is heard

One that starts while its clock is behind the former process's is ignored by entries and control VMs for as long as it runs. Change: a lower incarnation counts once the former process has been silent for as long as it takes to be lost. Tests: entry_that_restarts_after_its_clock_went_back_is_heard failed before; endpoints that join a full cell get queued tasks within a tick (held before).

--- a/lib/src/cell/membership_service.rs
+++ b/lib/src/cell/membership_service.rs
@@ -68,7 +68,11 @@
     pub fn handle_heartbeat(&mut self, heartbeat: CellHeartbeat, now: ClockTime) -> bool {
         let vm = heartbeat.owner.vm.clone();
         let known = self.peers.get(&vm).map(|(it, at)| (it.owner.incarnation, *at));
-        if known.is_some_and(|(it, _)| heartbeat.owner.incarnation < it) {
+        // A process that starts after its VM's clock went back has a lower incarnation than the
+        // former one, which has been silent since.
+        if known.is_some_and(|(it, at)| {
+            heartbeat.owner.incarnation < it && now.since_ms(at) <= RESYNC_MS
+        }) {
             return false;
         }
         let is_new = known.is_none_or(|(incarnation, at)| {
--- a/lib/src/cell/node_heartbeats.rs
+++ b/lib/src/cell/node_heartbeats.rs
@@ -163,13 +163,16 @@
     fn apply_heartbeat(&mut self, heartbeat: CellHeartbeat, now: ClockTime) -> Option<bool> {
         let from = heartbeat.owner.vm.clone();
         let known = self.peers.get(&from);
-        let is_outdated =
-            known.is_some_and(|it| heartbeat.owner.incarnation < it.heartbeat.owner.incarnation);
+        // A process that starts after its VM's clock went back has a lower incarnation than the
+        // former one.
+        let is_outdated = known.is_some_and(|it| {
+            heartbeat.owner.incarnation < it.heartbeat.owner.incarnation && !it.is_lost
+        });
         if is_outdated || from == self.settings.owner.vm {
             return None;
         }
         let is_new_incarnation =
-            known.is_none_or(|it| it.heartbeat.owner.incarnation < heartbeat.owner.incarnation);
+            known.is_none_or(|it| it.heartbeat.owner.incarnation != heartbeat.owner.incarnation);
         let is_found = known.is_none_or(|it| it.is_lost) || is_new_incarnation;
         if is_found || known.is_some_and(|it| it.heartbeat.stopping != heartbeat.stopping) {
             self.relay_recipients = None;
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -530,3 +530,20 @@
         matches!(it, JobResult::Refused(RefusalCause::Hopeless, after_ms) if 200 <= *after_ms)
     }));
 }
+
+/// Empty endpoints join a cell whose other endpoints are full, with jobs queued in front of them.
+#[test]
+fn added_endpoint_gets_queued_tasks_at_once() {
+    let mut leader = TestLeader::new(&["e1"]);
+    let _ = leader.begin(long_offer(1, 2));
+    leader.offer(offer(2, 2));
+    assert_eq!(leader.starts().len(), 0, "e1 is full");
+    let records = [record("e1"), record("e2")];
+    leader.dispatcher.set_endpoints(&records, leader.now);
+    leader.drain();
+    leader.answer_poll("e2", &[], &[]);
+    leader.advance_ms(20);
+    let starts = leader.starts();
+    assert!(starts.iter().all(|it| it.endpoint == EndpointName::from("e2")), "{starts:?}");
+    assert_eq!(starts.len(), 2);
+}
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -625,3 +625,25 @@
     assert_eq!(refused.get(&1), Some(&420));
     assert_eq!(refused.get(&2), Some(&1_000));
 }
+
+/// The time of day of a VM was ahead when its process started, and is right when it starts again:
+/// the new process has a lower incarnation than the former one.
+#[test]
+fn entry_that_restarts_after_its_clock_went_back_is_heard() {
+    let (_, mut node) = node("entry");
+    let other = VmName::from("other");
+    let mut now = START;
+    let mut receive = |incarnation, from_ms: u64, to_ms: u64| {
+        for at_ms in (from_ms..to_ms).step_by(100) {
+            now = START.plus_ms(at_ms);
+            let former = heartbeat_of("other", VmRole::Entry, Vec::new(), now);
+            let owner = OwnerId { vm: other.clone(), incarnation };
+            node.handle_heartbeat(&other, CellHeartbeat { owner, ..former }, now);
+            node.tick(now);
+        }
+        node.n_live_peers()
+    };
+    assert_eq!(receive(9_000, 0, 1_000), 1);
+    // Until the former process counts as lost, its datagrams may be on their way.
+    assert_eq!(receive(7_000, 1_300, 3_000), 1);
+}
