--- a/lib/src/cell/cell_leadership.rs
+++ b/lib/src/cell/cell_leadership.rs
@@ -56,7 +56,7 @@
 }
 
 /// The leader of each cell that has one, with its token: the entry with the highest token.
-pub fn leaders<'a, 'b>(
+fn leaders<'a, 'b>(
     candidates: &'b [LeaderCandidate<'a>],
 ) -> IndexMap<&'a CellName, (&'b LeaderCandidate<'a>, u64)> {
     let mut leaders = IndexMap::new();
