review: case 1, an acknowledged configuration is lost after two restarts

Added: review/1 with a script; the older cases move down by one number. The case of a joining machine, of the same cause, is only reported.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 bin=target/review/release/review-standins
 [ -x "$bin" ] || exit 2
-"$bin" group review/1 &
+"$bin" split review/1 &
 pid=$!
 trap 'pkill -KILL -P "$pid"; kill "$pid"; exit 2' INT TERM
 wait "$pid"
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 bin=target/review/release/review-standins
 [ -x "$bin" ] || exit 2
-"$bin" roll review/5 &
+"$bin" drain review/5 &
 pid=$!
 trap 'pkill -KILL -P "$pid"; kill "$pid"; exit 2' INT TERM
 wait "$pid"
--- a/review/standins/src/case_stop.rs
+++ b/review/standins/src/case_stop.rs
@@ -1,4 +1,4 @@
-//! An entry gets SIGHUP and SIGTERM one right after the other.
+//! Entries get SIGHUP and, some ms later, SIGTERM, while their share of the processor is used up.
 
 use std::{path::Path, sync::Arc, thread, time::Duration};
 
@@ -6,7 +6,9 @@
 
 const SHAPES: &[(u64, u64)] = &[(4, 60), (2, 200), (2, 700)];
 /// Entries that are stopped, one after the other.
-const N_STOPPED: usize = 6;
+const N_STOPPED: usize = 7;
+/// Time for which the process isn't scheduled, as when its share of the processor is used up.
+const PAUSE: Duration = Duration::from_millis(80);
 
 pub fn stage(work: &Path, record: &Arc<Record>, trouble: bool) -> Stage {
     crate::plain_stage(work, record, trouble, (3, 6, 12))
@@ -18,13 +20,21 @@
     thread::sleep(Duration::from_secs(4));
     let mut n_ignored = 0;
     let mut lost = Vec::new();
-    for front in 0..N_STOPPED {
+    for number in 0..N_STOPPED {
+        let front = number % stage.world.fronts.len();
         let idx = 3 + front;
         // The settings file is written anew, with the same content, as before a SIGHUP.
         stage.cluster.write_settings(idx, false, &[0, 1, 2]);
         let signals: &[&str] = if stage.trouble { &["HUP", "TERM"] } else { &["TERM"] };
-        let signalled = stage.record.now();
-        stage.cluster.signal(idx, signals);
+        stage.cluster.signal(idx, &["STOP"]);
+        let mut signalled = 0;
+        for signal in signals {
+            thread::sleep(PAUSE / 3);
+            signalled = stage.record.now();
+            stage.cluster.signal(idx, &[signal]);
+        }
+        thread::sleep(PAUSE / 3);
+        stage.cluster.signal(idx, &["CONT"]);
         stage.record.say(format!("edge-{front} gets {signals:?}"));
         let mut has_ended = false;
         while stage.record.now() < signalled + GRACE_S * 1_000 {
@@ -45,7 +55,7 @@
         thread::sleep(Duration::from_millis(500));
         lost.extend(lost_requests(stage, front, signalled));
         stage.cluster.start(idx, false, &[0, 1, 2]).map_err(|it| it.to_string())?;
-        thread::sleep(Duration::from_secs(4));
+        thread::sleep(Duration::from_secs(3));
     }
     stage.world.stop_clients();
     for it in &lost {
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -5,7 +5,10 @@
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Mutex,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 pub const CONTROL_PORT: u16 = 8_166;
@@ -34,6 +37,8 @@
 pub struct Cluster {
     root: PathBuf,
     pub processes: Vec<Process>,
+    /// `fault_tolerance.machines`.
+    n_tolerated: AtomicUsize,
     /// The second and third byte of all addresses.
     pub network: (u8, u8),
 }
@@ -74,7 +79,12 @@
                 child: Mutex::new(None),
             });
         }
-        Cluster { root, processes, network }
+        Cluster { root, processes, n_tolerated: AtomicUsize::new(1), network }
+    }
+
+    /// Sets how many machines with a disk may be lost at once.
+    pub fn tolerate(&self, n_machines: usize) {
+        self.n_tolerated.store(n_machines, Ordering::Relaxed);
     }
 
     pub fn controls(&self) -> impl Iterator<Item = &Process> {
@@ -117,7 +127,7 @@
 "limits":{{"cpu_share":0.25,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":1000.0,"disk_mb":128}},
 "data_dir":{data},"discovery":"registry","entry":"vip","heartbeat_ms":1500,
 "contracts":["base","drain","config","cost","recover","sched","advice","upkeep","sharing"],
-"fault_tolerance":{{"machines":1,"zones":1,"regions":0}},
+"fault_tolerance":{{"machines":{n_tolerated},"zones":1,"regions":0}},
 "bounds":{{"seed_lag_s":3,"reuse_after_s":2,"contact_ms":3000,"ack_ms":4000,"catch_up_s":4,"drain_ms":2000,"grace_s":{GRACE_S},"loss_slack_ms":200,"config_apply_ms":2000,"rollback_slack_ms":250,"max_stretch_ms":5000,"recovery_s":12,"max_hold_ms":1000,"stop_ms":50,"gang_wait_ms":3000,"cancel_ms":3000,"visible_ms":3000,"early_ms":250,"finish_s":14,"status_s":120,"remote_factor":3,"checkpoint_s":2,"restore_ms":100,"notice_ms":4500,"move_s":1.5,"upkeep_s":2,"fencing_required":false,"lease_ms":3000,"thaw_slack_ms":300,"pace_ms":100,"harm_ms":4000,"resend_ms":1300}},
 "config_mode":"highest","orders":"call","advice":null,
 "cloud":{{"address":"127.0.0.1:9","rate_per_s":60.0,"duties":[],"duty_per_s":60.0}}}}"#,
@@ -128,6 +138,7 @@
             last_port = it.link_port + 15,
             seeds = seeds.join(","),
             is_control = it.is_control,
+            n_tolerated = self.n_tolerated.load(Ordering::Relaxed),
         );
         fs::write(it.folder.join("settings.json"), text).expect("settings");
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod case_drain;
 mod case_group;
 mod case_roll;
+mod case_split;
 mod case_stop;
 mod case_twice;
 mod cluster;
@@ -90,6 +91,7 @@
     let run: fn(&Stage) -> Result<Verdict, String> = match case {
         "group" => case_group::run,
         "roll" => case_roll::run,
+        "split" => case_split::run,
         "stop" => case_stop::run,
         "twice" => case_twice::run,
         "drain" => case_drain::run,
@@ -99,6 +101,7 @@
     let stage = match case {
         "group" => case_group::stage(work, &record, trouble),
         "roll" => case_roll::stage(work, &record, trouble),
+        "split" => case_split::stage(work, &record, trouble),
         "stop" => case_stop::stage(work, &record, trouble),
         "twice" => case_twice::stage(work, &record, trouble),
         _ => case_drain::stage(work, &record, trouble),
