--- a/review/standins/src/case_split.rs
+++ b/review/standins/src/case_split.rs
@@ -11,8 +11,8 @@
 const LOST_MS: u64 = 4_000;
 /// Changes before the machines are added: a few more than a control machine keeps in its log.
 const N_CHANGES: usize = 32;
-/// `config_apply_ms` of the deployment.
-const APPLY_MS: u64 = 2_000;
+/// `config_apply_ms` of the deployment that the claim names.
+const APPLY_MS: u64 = 3_000;
 
 pub fn stage(work: &Path, record: &Arc<Record>, trouble: bool) -> Stage {
     // Control machines 0, 1 and 2 are the seeds; 3 and 4 are added.
--- a/review/standins/src/case_twice.rs
+++ b/review/standins/src/case_twice.rs
@@ -17,13 +17,13 @@
     traffic::World,
 };
 
-const SHAPES: &[(u64, u64)] = &[(8, 60), (4, 60), (2, 200)];
+const SHAPES: &[(u64, u64)] = &[(8, 60), (8, 60), (4, 60)];
 /// Share of lost packets on the links of one zone, in thousandths, and for how long: the dose of
 /// `lossy`.
 const LOST_MILLI: u64 = 25;
 const SPELL: Duration = Duration::from_millis(5_500);
-const PAUSE: Duration = Duration::from_secs(2);
-const N_SPELLS: usize = 9;
+const PAUSE: Duration = Duration::from_secs(1);
+const N_SPELLS: usize = 12;
 
 pub fn stage(work: &Path, record: &Arc<Record>, trouble: bool) -> Stage {
     let cluster = Arc::new(Cluster::new(work, 3, 3, false));
