cells: proofs of ended runs are typed, and runs that disprove one are reported

A task_requeued line has the proof, but not whether the endpoint had ever confirmed the run; a run that shows up later is taken for a former leader's.

The proofs are now a closed list, task_requeued and task_stopped tell whether the start was answered, and run_reappeared names the proof that a listed run, or its listed end, disproves. It is written at once, as its job may long have ended; closed runs are remembered for 20 s, 1,024 at most.

No decision changes. Tests of lib and of the cell worlds pass.

--- a/adapters/src/cell_metrics.rs
+++ b/adapters/src/cell_metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of cells, in the OpenMetrics text form.
 //!
-//! They are derived from decision records. Events and job outcomes are closed lists;
+//! They are derived from decision records. Events, proofs and job outcomes are closed lists;
 //! routes come from the configuration, and those beyond `MAX_ROUTES` share one label.
 
 use indexmap::IndexSet;
@@ -30,6 +30,12 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ProofLabels {
+    event: &'static str,
+    proof: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
     route: String,
@@ -61,6 +67,7 @@
 pub struct CellMetrics {
     registry: Registry,
     events: Family<EventLabels, Counter>,
+    proofs: Family<ProofLabels, Counter>,
     jobs: Family<OutcomeLabels, Counter>,
     job_time: Family<RouteLabels, Histogram>,
     gauges: Family<NameLabels, Gauge>,
@@ -72,12 +79,18 @@
     pub fn new() -> CellMetrics {
         let mut registry = Registry::with_prefix("yuccamux_cell");
         let events = Family::<EventLabels, Counter>::default();
+        let proofs = Family::<ProofLabels, Counter>::default();
         let jobs = Family::<OutcomeLabels, Counter>::default();
         let job_time = Family::<RouteLabels, Histogram>::new_with_constructor(|| {
             Histogram::new(TIME_BUCKETS_S)
         });
         let gauges = Family::<NameLabels, Gauge>::default();
         registry.register("decisions", "Decisions and changes of belief", events.clone());
+        registry.register(
+            "run_proofs",
+            "Proofs that runs are over: those relied on, and those that a run has disproved",
+            proofs.clone(),
+        );
         registry.register("jobs", "Jobs answered to callers", jobs.clone());
         registry.register(
             "job_seconds",
@@ -85,12 +98,16 @@
             job_time.clone(),
         );
         registry.register("figures", "Figures of the moment", gauges.clone());
-        CellMetrics { registry, events, jobs, job_time, gauges, routes: IndexSet::new() }
+        CellMetrics { registry, events, proofs, jobs, job_time, gauges, routes: IndexSet::new() }
     }
 
     /// Counts a decision; an answered job also counts by route and outcome.
     pub fn record_decision(&mut self, record: &DecisionRecord) {
         self.events.get_or_create(&EventLabels { event: record.event.name() }).inc();
+        if matches!(record.event, DecisionEvent::TaskRequeued | DecisionEvent::RunReappeared) {
+            let (event, proof) = (record.event.name(), record.outcome.clone());
+            self.proofs.get_or_create(&ProofLabels { event, proof }).inc();
+        }
         if record.event != DecisionEvent::JobAnswered {
             return;
         }
--- a/adapters/src/decision_log.rs
+++ b/adapters/src/decision_log.rs
@@ -1,8 +1,8 @@
 //! Decisions as JSON lines on standard output, bounded and never blocking.
 //!
 //! Records of a job are kept until it ends. The whole trace of a job that was refused, failed
-//! or late is written; of other jobs, one trace in `SAMPLE`. A record that concerns no job
-//! is written at once. All lines count towards a limit per second; a line reports how many
+//! or late is written; of other jobs, one trace in `SAMPLE`. A record that concerns no job, and
+//! one of a run that reappears, is written at once. All lines count towards a limit per second; a line reports how many
 //! were dropped.
 
 use std::{
@@ -87,7 +87,9 @@
 
     /// Logs a decision, or keeps it until its job ends.
     pub fn log_decision(&mut self, record: DecisionRecord) {
-        let Some(job) = record.job else {
+        // The job of a run that reappears may have ended, and its trace been written, long ago.
+        let job = record.job.filter(|_| record.event != DecisionEvent::RunReappeared);
+        let Some(job) = job else {
             self.write(&record);
             return;
         };
--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -17,6 +17,7 @@
         job_offer::{JobCode, JobOffer, JobResult, ResourceAmount, TaskRef},
         local_load::LocalLoad,
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
+        run_proof::RunProof,
     },
     prelude::*,
 };
@@ -53,6 +54,14 @@
     Done,
 }
 
+/// A run that counts as over though the endpoint has not listed its end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClosedRun {
+    pub(super) run: u32,
+    pub(super) proof: RunProof,
+    pub(super) closed_at: ClockTime,
+}
+
 /// Key of a result that is cached to answer a repeated offer.
 pub(super) enum CachedResult {
     End(JobCode),
@@ -126,6 +135,8 @@
     /// Results of rejected offers: a repeated offer must not run.
     pub(super) refusals: IndexMap<(VmName, JobCode, u64), JobResult>,
     pub(super) result_times: VecDeque<(ClockTime, CachedResult)>,
+    /// Runs that counted as over lately, to report those that reappear.
+    pub(super) closed_runs: IndexMap<(EndpointName, TaskRef), ClosedRun>,
     pub(super) times: RouteTimes,
     pub(super) local_load: LocalLoad,
     /// Factor on the run time of a task outside the rack of its data, in thousandths.
@@ -161,6 +172,7 @@
             results: IndexMap::new(),
             refusals: IndexMap::new(),
             result_times: VecDeque::new(),
+            closed_runs: IndexMap::new(),
             times: RouteTimes::default(),
             local_load: LocalLoad::default(),
             off_rack_milli: OFF_RACK_MILLI,
--- a/lib/src/cell/decision_record.rs
+++ b/lib/src/cell/decision_record.rs
@@ -62,6 +62,8 @@
     TaskRequeued = "task_requeued",
     /// A run is being stopped.
     TaskStopped = "task_stopped",
+    /// An endpoint listed a run that counted as over; the outcome is the proof that was wrong.
+    RunReappeared = "run_reappeared",
     /// A task failed on its endpoint.
     TaskFailed = "task_failed",
     /// An endpoint was added or changed.
--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -6,6 +6,7 @@
         endpoint_directory::EndpointRecord,
         endpoint_order::OrderBody,
         endpoint_state::{EndpointState, PendingPoll, RunPhase},
+        run_proof::RunProof,
     },
     prelude::*,
 };
@@ -40,7 +41,7 @@
             .cloned()
             .collect();
         for name in missing {
-            self.requeue_runs(&name, "gone", now);
+            self.requeue_runs(&name, RunProof::EndpointGone, now);
             self.endpoints.swap_remove(&name);
         }
         for record in records {
@@ -61,12 +62,12 @@
         self.run_placement_pass(now);
     }
 
-    /// Requeues the tasks of all runs on an endpoint; `proof` says why the runs are over.
-    pub(super) fn requeue_runs(&mut self, name: &EndpointName, proof: &str, now: ClockTime) {
+    /// Requeues the tasks of all runs on an endpoint, which are over.
+    pub(super) fn requeue_runs(&mut self, name: &EndpointName, proof: RunProof, now: ClockTime) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let runs = std::mem::take(&mut endpoint.runs);
         for (task, run) in runs {
-            self.requeue(task, run.run, name, proof, now);
+            self.requeue(task, &run, name, proof, now);
         }
         self.needs_placement_pass = true;
     }
@@ -110,6 +111,7 @@
     /// Handles timeouts, sends due polls and places waiting tasks.
     pub fn tick(&mut self, own: &VmName, now: ClockTime) {
         self.expire_results(now);
+        self.expire_closed_runs(now);
         self.cancel_abandoned(own, now);
         self.done_before_offer.retain(|_, at| now.since_ms(*at) < FORMER_END_CACHE_MS);
         for idx in 0..self.endpoints.len() {
@@ -125,7 +127,7 @@
         let Some((name, endpoint)) = self.endpoints.get_index(idx) else { return };
         let name = name.clone();
         if 0 < endpoint.n_unanswered && !endpoint.runs.is_empty() && endpoint.lease_is_over(now) {
-            self.requeue_runs(&name, "lease ran out", now);
+            self.requeue_runs(&name, RunProof::LeaseExpired, now);
             return;
         }
         let mut over = Vec::new();
@@ -150,8 +152,9 @@
             }
         }
         for (task, run) in over {
-            self.remove_run(&name, task, run);
-            self.requeue(task, run, &name, "stop acknowledged", now);
+            if let Some(run) = self.remove_run(&name, task, run) {
+                self.requeue(task, &run, &name, RunProof::StopAcknowledged, now);
+            }
         }
         for task in resend {
             self.send_stop(&name, task, now);
--- a/lib/src/cell/dispatch_ends.rs
+++ b/lib/src/cell/dispatch_ends.rs
@@ -5,8 +5,9 @@
         cell_dispatcher::{CellDispatcher, CellEffect, TaskPhase},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_order::{ListedEnd, RunEnd},
-        endpoint_state::{EndpointRun, RunPhase},
+        endpoint_state::EndpointRun,
         job_offer::{JobResult, TaskRef},
+        run_proof::RunProof,
     },
     prelude::*,
 };
@@ -20,19 +21,18 @@
         endpoint.cursor = end.number;
         endpoint.owes_cursor = true;
         let Some(run) = self.remove_run(name, end.task, end.run) else {
+            self.check_closed_run(end.task, end.run, name, now);
             self.handle_former_end(end, now);
             return;
         };
-        let is_own_stop = matches!(run.phase, RunPhase::Stopping { .. });
         match end.end {
             RunEnd::Done => {
                 self.record_run_time(name, end.task, &run, now);
                 self.finish_task(end.task, now);
             }
-            RunEnd::Failed => self.fail_task(end.task, end.run, name, now),
+            RunEnd::Failed => self.fail_task(end.task, &run, name, RunProof::Ended(end.end), now),
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Broken => {
-                let proof = if is_own_stop { "stopped" } else { "ended without its work" };
-                self.requeue(end.task, end.run, name, proof, now);
+                self.requeue(end.task, &run, name, RunProof::Ended(end.end), now);
             }
         }
     }
@@ -105,8 +105,9 @@
     pub(super) fn fail_task(
         &mut self,
         task: TaskRef,
-        run: u32,
+        run: &EndpointRun,
         name: &EndpointName,
+        proof: RunProof,
         now: ClockTime,
     ) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
@@ -130,7 +131,7 @@
             .with("max_attempts", u64::from(max_attempts));
         self.log_decision(record);
         if n_failed < max_attempts {
-            self.requeue(task, run, name, "failed", now);
+            self.requeue(task, run, name, proof, now);
             return;
         }
         let others: Vec<(EndpointName, TaskRef)> = self.jobs[&task.job]
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -10,6 +10,7 @@
         },
         endpoint_state::{EndpointRun, PendingPoll, RunPhase},
         job_offer::{ResourceAmount, TaskRef},
+        run_proof::RunProof,
     },
     prelude::*,
 };
@@ -64,7 +65,7 @@
                 self.effects.push(CellEffect::Fenced);
             }
             (OrderOutcome::Refused(OrderRefusal::OtherLife, _), _) => {
-                self.requeue_runs(name, "another endpoint answers", now);
+                self.requeue_runs(name, RunProof::OtherEndpoint, now);
                 if let Some(endpoint) = self.endpoints.get_mut(name) {
                     endpoint.retry_at = now.plus_ms(OTHER_INCARNATION_PAUSE_MS);
                 }
@@ -98,6 +99,7 @@
         let Some(known) = endpoint.runs.get_mut(&task).filter(|it| it.run == run) else { return };
         let refusal = match outcome {
             OrderOutcome::Executed(..) => {
+                known.was_answered = true;
                 if matches!(known.phase, RunPhase::Ordered | RunPhase::Doubted) {
                     known.phase = RunPhase::Working;
                     known.since = now;
@@ -133,21 +135,18 @@
         if is_stopping && refusal.is_none() {
             return;
         }
-        self.remove_run(name, task, run);
+        let Some(run) = self.remove_run(name, task, run) else { return };
         if let Some(job) = self.jobs.get_mut(&task.job)
             && let Some(known) = job.tasks.iter_mut().find(|it| it.task == task)
             && refusal == Some(OrderRefusal::OldRun)
         {
             known.last_run += OLD_RUN_STEP;
         }
-        let proof = match refusal {
-            Some(refusal) => format!("refused: {refusal:?}"),
-            None => "not sent".to_owned(),
-        };
+        let proof = refusal.map_or(RunProof::NotSent, RunProof::Refused);
         if refusal == Some(OrderRefusal::Malformed) {
-            self.fail_task(task, run, name, now);
+            self.fail_task(task, &run, name, proof, now);
         } else {
-            self.requeue(task, run, name, &proof, now);
+            self.requeue(task, &run, name, proof, now);
         }
     }
 
@@ -166,9 +165,8 @@
             return;
         }
         acked_at.get_or_insert(now);
-        if !*was_seen {
-            self.remove_run(name, task, run);
-            self.requeue(task, run, name, "stopped before it started", now);
+        if !*was_seen && let Some(run) = self.remove_run(name, task, run) {
+            self.requeue(task, &run, name, RunProof::StoppedUnseen, now);
         }
     }
 
@@ -262,6 +260,7 @@
             self.handle_unknown_run(name, listed, is_job_here, now);
             return;
         };
+        run.was_answered |= run.run == listed.run;
         match &mut run.phase {
             RunPhase::Ordered | RunPhase::Doubted if run.run == listed.run => {
                 run.phase = RunPhase::Working;
@@ -281,11 +280,13 @@
         is_job_here: bool,
         now: ClockTime,
     ) {
+        self.check_closed_run(listed.task, listed.run, name, now);
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let run = EndpointRun {
             run: listed.run,
             demand: ResourceAmount { cpu: 1, mem_mb: 0, gpu: 0 },
             phase: RunPhase::Orphan,
+            was_answered: true,
             since: now,
             ordered_at: now,
             predicted_ms: 1,
@@ -362,11 +363,13 @@
         };
         run.phase = RunPhase::Stopping { acked_at: None, was_seen };
         run.since = now;
-        let number = run.run;
+        let record = DecisionRecord::new(now, DecisionEvent::TaskStopped, name.as_str(), why)
+            .for_job(task.job)
+            .with("idx", u64::from(task.idx))
+            .with("run", u64::from(run.run))
+            .with("answered", u64::from(run.was_answered));
         self.send_stop(name, task, now);
-        let record = DecisionRecord::new(now, DecisionEvent::TaskStopped, name.as_str(), why);
-        let record = record.for_job(task.job).with("idx", u64::from(task.idx));
-        self.log_decision(record.with("run", u64::from(number)));
+        self.log_decision(record);
     }
 
     pub(super) fn send_stop(&mut self, name: &EndpointName, task: TaskRef, now: ClockTime) {
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -4,12 +4,13 @@
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, LEASE_MS, TaskPhase},
+        cell_dispatcher::{CellDispatcher, ClosedRun, LEASE_MS, TaskPhase},
         cell_placement::{self, PlacementChoice, PlacementRequest},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_order::OrderBody,
         endpoint_state::{EndpointRun, RunPhase},
         job_offer::{JobCode, TaskRef},
+        run_proof::RunProof,
     },
     prelude::*,
 };
@@ -19,6 +20,12 @@
 /// failed, so it stops the job's runs or no longer renews their lease.
 const REPEAT_WAIT_MS: u64 = LEASE_MS + 350;
 
+/// Time for which a closed run is remembered, in ms: an order may be carried out this late.
+const CLOSED_RUN_MS: u64 = 20_000;
+
+/// Maximum number of closed runs that are remembered.
+const MAX_CLOSED_RUNS: usize = 1_024;
+
 impl CellDispatcher {
     /// Places waiting tasks in rank order, if anything has changed since the last pass.
     pub(super) fn run_placement_pass(&mut self, now: ClockTime) {
@@ -105,6 +112,7 @@
             run: task.last_run,
             demand,
             phase: RunPhase::Ordered,
+            was_answered: false,
             since: now,
             ordered_at: now,
             predicted_ms,
@@ -126,29 +134,76 @@
         self.log_decision(record);
     }
 
-    /// Requeues a task; `proof` says why its run is over or never began.
+    /// Requeues the task of a run that is over or never began.
     pub(super) fn requeue(
         &mut self,
         task: TaskRef,
-        run: u32,
+        run: &EndpointRun,
         name: &EndpointName,
-        proof: &str,
+        proof: RunProof,
         now: ClockTime,
     ) {
+        if !matches!(proof, RunProof::Ended(_)) {
+            self.remember_closed_run(task, run.run, name, proof, now);
+        }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let Some(known) = job.tasks.iter_mut().find(|it| it.task == task) else { return };
         if known.phase != TaskPhase::Placed(name.clone()) {
             return;
         }
         known.phase = TaskPhase::Waiting;
-        let record = DecisionRecord::new(now, DecisionEvent::TaskRequeued, name.as_str(), proof)
+        let event = DecisionEvent::TaskRequeued;
+        let record = DecisionRecord::new(now, event, name.as_str(), proof.name())
             .for_job(task.job)
             .with("idx", u64::from(task.idx))
-            .with("run", u64::from(run));
+            .with("run", u64::from(run.run))
+            .with("answered", u64::from(run.was_answered))
+            .with("ordered_ms", now.since_ms(run.ordered_at));
         self.log_decision(record);
         self.needs_placement_pass = true;
     }
 
+    fn remember_closed_run(
+        &mut self,
+        task: TaskRef,
+        run: u32,
+        name: &EndpointName,
+        proof: RunProof,
+        now: ClockTime,
+    ) {
+        if MAX_CLOSED_RUNS <= self.closed_runs.len() {
+            self.closed_runs.swap_remove_index(0);
+        }
+        let closed = ClosedRun { run, proof, closed_at: now };
+        self.closed_runs.insert((name.clone(), task), closed);
+    }
+
+    pub(super) fn expire_closed_runs(&mut self, now: ClockTime) {
+        self.closed_runs.retain(|_, it| now.since_ms(it.closed_at) < CLOSED_RUN_MS);
+    }
+
+    /// Reports a run that an endpoint lists although it counted as over.
+    pub(super) fn check_closed_run(
+        &mut self,
+        task: TaskRef,
+        run: u32,
+        name: &EndpointName,
+        now: ClockTime,
+    ) {
+        let key = (name.clone(), task);
+        if self.closed_runs.get(&key).is_none_or(|it| it.run != run) {
+            return;
+        }
+        let Some(closed) = self.closed_runs.swap_remove(&key) else { return };
+        let event = DecisionEvent::RunReappeared;
+        let record = DecisionRecord::new(now, event, name.as_str(), closed.proof.name())
+            .for_job(task.job)
+            .with("idx", u64::from(task.idx))
+            .with("run", u64::from(run))
+            .with("closed_ms", now.since_ms(closed.closed_at));
+        self.log_decision(record);
+    }
+
     /// Removes a run from its endpoint.
     pub(super) fn remove_run(
         &mut self,
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -58,6 +58,8 @@
     pub(crate) demand: ResourceAmount,
     /// Its phase.
     pub(crate) phase: RunPhase,
+    /// Whether the endpoint has confirmed that it began, in this incarnation.
+    pub(crate) was_answered: bool,
     /// When the phase began.
     pub(crate) since: ClockTime,
     /// When it was ordered or first seen.
@@ -265,6 +267,7 @@
             if !matches!(run.phase, RunPhase::Stopping { .. }) {
                 run.phase = RunPhase::Doubted;
             }
+            run.was_answered = false;
             run.since = now.minus_ms(1);
         }
         self.claimed = false;
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -44,3 +44,4 @@
 mod node_peers;
 pub mod route_plan;
 pub mod run_forecast;
+pub mod run_proof;
