--- a/testutils/src/bin/cells.rs
+++ b/testutils/src/bin/cells.rs
@@ -15,6 +15,12 @@
     /// faults in each (8)
     #[argh(option, default = "8")]
     faults: usize,
+    /// faults come in series that overlap
+    #[argh(switch)]
+    series: bool,
+    /// departures may be announced during an endpoint's next life
+    #[argh(switch)]
+    late_departures: bool,
     /// print the notes that contain this text
     #[argh(option)]
     notes: Option<String>,
@@ -22,7 +28,12 @@
 
 fn main() {
     let args: CellsArgs = argh::from_env();
-    let plan = CellPlan { n_faults: args.faults, ..CellPlan::default() };
+    let plan = CellPlan {
+        n_faults: args.faults,
+        in_series: args.series,
+        late_departures: args.late_departures,
+        ..CellPlan::default()
+    };
     let (mut n_broken, mut n_completed, mut n_refused) = (0, 0, 0);
     for seed in args.seed..args.seed + args.cases {
         let mut world = CellWorld::new(seed, &plan);
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -3,8 +3,11 @@
 //! The world checks what callers and endpoints see: no task at work twice, nothing of a
 //! refused job run, no start on an endpoint that has long been leaving, and an answer for
 //! every job once the faults are over.
+//!
+//! Faults come one by one, or in series that overlap: orders are held up by cuts and carried out
+//! late, while endpoints fall silent, crash, leave and begin new lives under their names.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use indexmap::{IndexMap, IndexSet};
 use rand::{RngExt, SeedableRng};
@@ -13,8 +16,9 @@
     cell::{
         cell_message::{CellHeartbeat, CellMessage, HeartbeatDigest},
         cell_node::{CellNode, CellSettings, NodeEffect},
+        decision_record::{DecisionEvent, DecisionRecord},
         endpoint_directory::EndpointRecord,
-        endpoint_order::{EndpointOrder, OrderBody, OrderOutcome},
+        endpoint_order::{EndpointOrder, OrderBody, OrderOutcome, OrderRefusal},
         job_offer::{JobCode, JobOffer, JobResult, JobStep, ResourceAmount, TaskRef},
         route_plan::RoutePlan,
     },
@@ -25,7 +29,7 @@
 
 use crate::{
     cell_fixtures::{SERVICE, SLACK_MS, STRETCH_MILLI, endpoint, route_plan},
-    cell_runner::CellRunner,
+    cell_runner::{CellRunner, LeaseRule},
 };
 
 /// Time after which a caller without an answer sends its job again, in ms.
@@ -40,6 +44,14 @@
 const TICK_MS: u64 = 10;
 /// Time between announcements of all endpoints, in ms.
 const NEWS_MS: u64 = 1_500;
+/// Share of the orders to an endpoint that a cut holds up and doesn't lose, in thousandths.
+const HELD_MILLI: u64 = 700;
+/// Longest time from a cut's end until an order that it held up arrives, in ms.
+const RETRANSMIT_MS: u64 = 400;
+/// Time from an order on after which it counts as held up, in ms.
+const HELD_UP_MS: u64 = 100;
+/// How far the clock of an endpoint that took over an address is ahead, in ms.
+const OTHER_AHEAD_MS: u64 = 7_000_000;
 
 /// Sizes and faults of a world.
 #[derive(Clone, Debug)]
@@ -56,6 +68,10 @@
     pub span_ms: u64,
     /// Random faults.
     pub n_faults: usize,
+    /// Whether faults come in series that overlap.
+    pub in_series: bool,
+    /// Whether an endpoint's departure may be announced during its next life.
+    pub late_departures: bool,
 }
 
 impl Default for CellPlan {
@@ -67,10 +83,34 @@
             n_jobs: 250,
             span_ms: 12_000,
             n_faults: 8,
+            in_series: false,
+            late_departures: false,
         }
     }
 }
 
+/// Which ways a cut closes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CutWays {
+    /// Orders and answers.
+    Both,
+    /// Orders alone.
+    Orders,
+    /// Answers alone.
+    Answers,
+}
+
+/// What happens at the address of an endpoint that is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DownAnswer {
+    /// Nothing: its machine is down.
+    Silent,
+    /// Connections are refused: its process is down.
+    Refused,
+    /// Another endpoint answers.
+    Other,
+}
+
 /// A fault that can strike.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CellFault {
@@ -85,13 +125,22 @@
     /// An entry is cut off from all other entries, both ways or one way.
     CutEntry(VmName, bool, u64),
     /// An endpoint is cut off from all entries.
-    CutRunner(EndpointName, u64),
+    CutRunner(EndpointName, CutWays, u64),
+    /// An endpoint is cut off from one entry.
+    CutLink(VmName, EndpointName, CutWays, u64),
     /// Connections between two entries break and lose what is on its way.
     Reset(VmName, VmName),
     /// An endpoint crashes and starts again under its name.
-    Crash(EndpointName, u64),
+    Crash(EndpointName, DownAnswer, u64),
     /// An endpoint leaves.
     Leave(EndpointName),
+    /// An endpoint that left ends, is announced as gone after so many ms, and starts again under
+    /// its name.
+    Depart(EndpointName, u64, u64),
+    /// An endpoint carries out orders without an answer.
+    Mute(EndpointName, u64),
+    /// An endpoint refuses connections.
+    Refuse(EndpointName, u64),
     /// Orders to endpoints lose their answer, so many in a thousand.
     LoseAnswers(u64, u64),
     /// Orders to endpoints get no answer and are carried out late.
@@ -109,7 +158,7 @@
     Beat(VmName, VmName, CellHeartbeat),
     Digest(VmName, VmName, HeartbeatDigest),
     Broken(VmName, VmName),
-    Order(VmName, u64, EndpointOrder, bool),
+    Order(SentOrder),
     Outcome(VmName, u64, EndpointOrder, OrderOutcome),
     LookEnds(VmName, u64, EndpointOrder),
     Withdraw(VmName, u64, CallNumber),
@@ -122,9 +171,26 @@
     Start(VmName),
     Thaw(VmName),
     Mend(CellFault),
+    Gone(EndpointRecord),
     Exit(VmName, u64),
 }
 
+/// An order on its way.
+#[derive(Clone)]
+struct SentOrder {
+    vm: VmName,
+    incarnation: u64,
+    order: EndpointOrder,
+    sent_at: ClockTime,
+}
+
+/// Who ordered a run, and when.
+struct RunOrigin {
+    vm: VmName,
+    sent_at: ClockTime,
+    began_at: ClockTime,
+}
+
 struct WorldJob {
     offer: JobOffer,
     work_ms: u64,
@@ -166,7 +232,15 @@
     /// When entries were last started, frozen or thawed.
     disturbed_at: IndexMap<VmName, ClockTime>,
     pending_looks: IndexMap<EndpointName, Vec<(VmName, u64, EndpointOrder)>>,
-    cuts: BTreeSet<(String, String)>,
+    down_answers: IndexMap<EndpointName, DownAnswer>,
+    /// Number of cuts that close a way.
+    cuts: BTreeMap<(String, String), u32>,
+    held_orders: Vec<SentOrder>,
+    in_series: bool,
+    late_departures: bool,
+    origins: IndexMap<(EndpointName, TaskRef, u32), RunOrigin>,
+    /// Why runs were taken to be over.
+    proofs: IndexMap<(JobCode, u64, u64, String), DecisionRecord>,
     epochs: IndexMap<(VmName, VmName), u64>,
     last_sent: IndexMap<(VmName, VmName), ClockTime>,
     jobs: IndexMap<JobCode, WorldJob>,
@@ -174,7 +248,6 @@
     next_call: u64,
     lose_milli: u64,
     delay_milli: u64,
-    down: IndexSet<VmName>,
     /// Orders whose outcome is still to come.
     open_orders: IndexSet<(VmName, u64, u64)>,
 }
@@ -183,6 +256,16 @@
     VmName(format!("entry-{centre}-{idx}"))
 }
 
+fn link_cuts(vm: &VmName, name: &EndpointName, ways: CutWays) -> Vec<(String, String)> {
+    let orders = (vm.0.clone(), name.0.clone());
+    let answers = (name.0.clone(), vm.0.clone());
+    match ways {
+        CutWays::Both => vec![orders, answers],
+        CutWays::Orders => vec![orders],
+        CutWays::Answers => vec![answers],
+    }
+}
+
 fn room() -> ResourceAmount {
     ResourceAmount { cpu: 16_000, mem_mb: 1_000, gpu: 0 }
 }
@@ -211,7 +294,13 @@
             leaving_since: IndexMap::new(),
             disturbed_at: IndexMap::new(),
             pending_looks: IndexMap::new(),
-            cuts: BTreeSet::new(),
+            down_answers: IndexMap::new(),
+            cuts: BTreeMap::new(),
+            held_orders: Vec::new(),
+            in_series: plan.in_series,
+            late_departures: plan.late_departures,
+            origins: IndexMap::new(),
+            proofs: IndexMap::new(),
             epochs: IndexMap::new(),
             last_sent: IndexMap::new(),
             jobs: IndexMap::new(),
@@ -219,15 +308,19 @@
             next_call: 0,
             lose_milli: 0,
             delay_milli: 0,
-            down: IndexSet::new(),
             open_orders: IndexSet::new(),
         };
         world.build(plan);
-        let n_faults = plan.n_faults;
-        for _ in 0..n_faults {
-            let fault = world.draw_fault(plan);
-            let at = world.now.plus_ms(4_000 + world.rng.random_range(0..plan.span_ms));
-            world.push(at, WorldEvent::Fault(fault));
+        let mut n_left = plan.n_faults;
+        while 0 < n_left {
+            let after_ms = 4_000 + world.rng.random_range(0..plan.span_ms);
+            if plan.in_series {
+                n_left -= world.add_series(after_ms, n_left, plan);
+            } else {
+                let fault = world.draw_fault(plan);
+                world.add_fault(after_ms, fault);
+                n_left -= 1;
+            }
         }
         world
     }
@@ -256,7 +349,11 @@
                 let cpu = room().cpu;
                 let record = endpoint(name.as_str(), address, &centre_name, &rack, cpu, self.now);
                 let clock_ahead = self.rng.random_range(0..100_000);
-                self.runners.insert(name.clone(), CellRunner::new(record, clock_ahead));
+                let mut runner = CellRunner::new(record, clock_ahead);
+                if self.rng.random_range(0..2) == 0 {
+                    runner.lease_rule = LeaseRule::InForce;
+                }
+                self.runners.insert(name.clone(), runner);
                 self.runner_centre.insert(name, centre);
             }
         }
@@ -328,9 +425,9 @@
             2 => CellFault::Stop(vm),
             3 => CellFault::CutCentre(centre, span_ms),
             4 => CellFault::CutEntry(vm, self.rng.random_range(0..2) == 0, span_ms),
-            5 => CellFault::CutRunner(runner, span_ms),
+            5 => CellFault::CutRunner(runner, CutWays::Both, span_ms),
             6 => CellFault::Reset(vm, other),
-            7 => CellFault::Crash(runner, span_ms),
+            7 => CellFault::Crash(runner, DownAnswer::Silent, span_ms),
             8 => CellFault::Leave(runner),
             9 => CellFault::LoseAnswers(milli, span_ms),
             10 => CellFault::DelayOrders(milli, span_ms),
@@ -340,6 +437,71 @@
         }
     }
 
+    /// Adds a window of late orders with faults in it, half of them at one endpoint; returns how
+    /// many.
+    fn add_series(&mut self, after_ms: u64, n_left: usize, plan: &CellPlan) -> usize {
+        let n_faults = self.rng.random_range(1..=5).min(n_left);
+        let window_ms = self.rng.random_range(1_000..6_000);
+        let centre = self.rng.random_range(0..plan.n_centres);
+        let idx = self.rng.random_range(0..plan.n_runners);
+        let name = EndpointName(format!("runner-{centre}-{idx}"));
+        let milli = self.rng.random_range(20..400);
+        self.add_fault(after_ms, CellFault::DelayOrders(milli, window_ms));
+        for _ in 1..n_faults {
+            let at_ms = after_ms + self.rng.random_range(0..window_ms);
+            if self.rng.random_range(0..2) == 0 {
+                self.add_runner_fault(at_ms, &name, plan);
+            } else {
+                let fault = self.draw_fault(plan);
+                self.add_fault(at_ms, fault);
+            }
+        }
+        n_faults
+    }
+
+    fn add_runner_fault(&mut self, at_ms: u64, name: &EndpointName, plan: &CellPlan) {
+        let centre = self.rng.random_range(0..plan.n_centres);
+        let vm = vm_of(centre, self.rng.random_range(0..plan.n_entries));
+        let name = name.clone();
+        let ways = [CutWays::Both, CutWays::Both, CutWays::Orders, CutWays::Answers];
+        let ways = ways[self.rng.random_range(0..ways.len())];
+        let span_ms = self.draw_span_ms();
+        match self.rng.random_range(0..8) {
+            0 | 1 => self.add_fault(at_ms, CellFault::CutRunner(name, ways, span_ms)),
+            2 => self.add_fault(at_ms, CellFault::CutLink(vm, name, ways, span_ms)),
+            3 => self.add_fault(at_ms, CellFault::Mute(name, span_ms)),
+            4 => self.add_fault(at_ms, CellFault::Refuse(name, span_ms)),
+            5 => {
+                self.add_fault(at_ms, CellFault::Leave(name.clone()));
+                let end_ms = at_ms + DRAIN_MS + self.rng.random_range(300..2_000);
+                let is_late = plan.late_departures && self.rng.random_range(0..2) == 0;
+                let gone_ms = if is_late { span_ms + 200 } else { span_ms / 2 };
+                self.add_fault(end_ms, CellFault::Depart(name, gone_ms, span_ms));
+            }
+            kind => {
+                // It flaps: lives are as short as the times between them.
+                let n_crashes = if kind == 6 { 1 } else { 3 };
+                let mut at_ms = at_ms;
+                for _ in 0..n_crashes {
+                    let down_ms = self.draw_span_ms() / n_crashes;
+                    let answers = [DownAnswer::Silent, DownAnswer::Refused, DownAnswer::Other];
+                    let answer = answers[self.rng.random_range(0..answers.len())];
+                    self.add_fault(at_ms, CellFault::Crash(name.clone(), answer, down_ms));
+                    at_ms += down_ms + self.rng.random_range(300..1_500);
+                }
+            }
+        }
+    }
+
+    /// A time within, about or beyond a lease.
+    fn draw_span_ms(&mut self) -> u64 {
+        match self.rng.random_range(0..3) {
+            0 => self.rng.random_range(300..800),
+            1 => self.rng.random_range(800..1_500),
+            _ => self.rng.random_range(1_500..6_000),
+        }
+    }
+
     /// Adds a fault `after_ms` from the start.
     pub fn add_fault(&mut self, after_ms: u64, fault: CellFault) {
         self.push(self.now.plus_ms(after_ms), WorldEvent::Fault(fault));
@@ -372,7 +534,7 @@
     }
 
     fn is_cut(&self, from: &str, to: &str) -> bool {
-        self.cuts.contains(&(from.to_owned(), to.to_owned()))
+        self.cuts.contains_key(&(from.to_owned(), to.to_owned()))
     }
 
     fn take(&mut self, event: WorldEvent) {
@@ -399,6 +561,11 @@
             WorldEvent::GiveUp(code, attempt) => self.give_up(code, attempt),
             WorldEvent::Fault(fault) => self.strike(fault),
             WorldEvent::Mend(fault) => self.mend(&fault),
+            WorldEvent::Gone(ended) => {
+                let now_there = self.runners.get(&ended.name).filter(|_| self.late_departures);
+                let record = now_there.map_or(ended, |it| it.record.clone());
+                self.announce(vec![(record, true)]);
+            }
             event => self.take_traffic(event),
         }
     }
@@ -410,17 +577,16 @@
             | WorldEvent::Digest(_, to, _) => to.clone(),
             WorldEvent::Broken(to, _) | WorldEvent::Outcome(to, ..) => to.clone(),
             WorldEvent::Withdraw(to, ..) | WorldEvent::Call(to, ..) => to.clone(),
-            WorldEvent::Order(from, ..) => from.clone(),
+            WorldEvent::Order(_) => {
+                self.arrive(event);
+                return;
+            }
             WorldEvent::LookEnds(..) => {
                 self.end_look(event);
                 return;
             }
             _ => return,
         };
-        if let WorldEvent::Order(vm, incarnation, order, is_late) = event {
-            self.carry_out(vm, incarnation, order, is_late);
-            return;
-        }
         let Some(entry) = self.entries.get_mut(&to) else { return };
         if entry.frozen {
             // Sockets keep what comes for a process that stands still.
@@ -493,7 +659,6 @@
             off_rack_milli: 2_000,
         };
         entry.node = Some(CellNode::new(settings, now));
-        self.down.shift_remove(vm);
         // A control VM would tell of the routes, the endpoints and the others.
         let members: Vec<VmName> = self.entries.keys().cloned().collect();
         let records: Vec<(EndpointRecord, bool)> =
@@ -576,6 +741,14 @@
             }
             NodeEffect::Answer(call, result) => self.answer(vm, call, result),
             NodeEffect::LogDecision(note) => {
+                if note.event == DecisionEvent::TaskRequeued
+                    && let Some(job) = note.job
+                {
+                    let input = |name: &str| note.inputs.iter().find(|it| it.0 == name);
+                    let value = |name: &str| input(name).map_or(0, |it| it.1);
+                    let key = (job, value("idx"), value("run"), note.subject.clone());
+                    self.proofs.insert(key, note.clone());
+                }
                 if self.keeps_notes {
                     self.notes.push(format!("{vm} {note:?}"));
                 }
@@ -594,7 +767,6 @@
         entry.frozen = false;
         entry.held.clear();
         entry.incarnation += 1;
-        self.down.insert(vm.clone());
         for other in self.entries.keys().cloned().collect::<Vec<_>>() {
             if other != *vm {
                 self.push(self.now.plus_ms(1), WorldEvent::Broken(other, vm.clone()));
@@ -710,6 +882,10 @@
             runner.record.seq += 1;
             records.push((runner.record.clone(), false));
         }
+        self.announce(records);
+    }
+
+    fn announce(&mut self, records: Vec<(EndpointRecord, bool)>) {
         let control = VmName::from("control");
         for vm in self.entries.keys().cloned().collect::<Vec<_>>() {
             let records = records.clone();
@@ -720,46 +896,86 @@
     }
 
     fn send_order(&mut self, vm: &VmName, incarnation: u64, order: EndpointOrder) {
-        let limit = self.now.plus_ms(order.time_limit_ms);
+        let (vm, sent_at) = (vm.clone(), self.now);
         self.open_orders.insert((vm.clone(), incarnation, order.number.0));
-        if self.rng.random_range(0..1000) < self.delay_milli {
-            let late = self.now.plus_ms(self.rng.random_range(2_000..12_000));
-            self.push(late, WorldEvent::Order(vm.clone(), incarnation, order.clone(), true));
-            let lost = WorldEvent::Outcome(vm.clone(), incarnation, order, OrderOutcome::Lost);
-            self.push(limit, lost);
+        if self.refuses_connections(&order.endpoint)
+            && !self.is_cut(vm.as_str(), order.endpoint.as_str())
+        {
+            let at = self.now.plus_ms(1);
+            self.push(at, WorldEvent::Outcome(vm, incarnation, order, OrderOutcome::NotSent));
             return;
         }
-        let at = self.now.plus_ms(1);
-        self.push(at, WorldEvent::Order(vm.clone(), incarnation, order.clone(), false));
-        let lost = WorldEvent::Outcome(vm.clone(), incarnation, order, OrderOutcome::Lost);
-        self.push(limit, lost);
+        let transit_ms = if self.rng.random_range(0..1000) < self.delay_milli {
+            // A short delay lets the start arrive between a look and a stop.
+            let is_short = self.in_series && self.rng.random_range(0..2) == 0;
+            self.rng.random_range(if is_short { 50..600 } else { 2_000..12_000 })
+        } else {
+            1
+        };
+        let limit = self.now.plus_ms(order.time_limit_ms);
+        let sent = SentOrder { vm: vm.clone(), incarnation, order: order.clone(), sent_at };
+        self.push(self.now.plus_ms(transit_ms), WorldEvent::Order(sent));
+        self.push(limit, WorldEvent::Outcome(vm, incarnation, order, OrderOutcome::Lost));
     }
 
-    fn carry_out(&mut self, vm: VmName, incarnation: u64, order: EndpointOrder, is_late: bool) {
-        let name = order.endpoint.clone();
-        if self.is_cut(vm.as_str(), name.as_str()) {
+    fn refuses_connections(&self, name: &EndpointName) -> bool {
+        let is_refused = || self.down_answers.get(name) == Some(&DownAnswer::Refused);
+        self.runners.get(name).is_some_and(|it| it.refuses || !it.up && is_refused())
+    }
+
+    fn arrive(&mut self, event: WorldEvent) {
+        let WorldEvent::Order(sent) = event else { return };
+        if self.is_cut(sent.vm.as_str(), sent.order.endpoint.as_str()) {
+            // TCP sends again what a cut kept from arriving, also for a sender that is gone.
+            if self.in_series && self.rng.random_range(0..1000) < HELD_MILLI {
+                self.held_orders.push(sent);
+            }
             return;
         }
+        self.carry_out(sent);
+    }
+
+    /// Sends the orders again that no cut holds up any more.
+    fn release_orders(&mut self) {
+        for sent in std::mem::take(&mut self.held_orders) {
+            if self.is_cut(sent.vm.as_str(), sent.order.endpoint.as_str()) {
+                self.held_orders.push(sent);
+            } else {
+                let at = self.now.plus_ms(self.rng.random_range(1..RETRANSMIT_MS));
+                self.push(at, WorldEvent::Order(sent));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, sent: SentOrder) {
+        let SentOrder { vm, incarnation, order, sent_at } = sent;
+        let name = order.endpoint.clone();
         let (demand, work_ms) = self.work_of(&order);
         let now = self.now;
         let Some(runner) = self.runners.get_mut(&name) else { return };
-        if !runner.up || self.down.contains(&vm) && !is_late {
+        if !runner.up {
+            if self.down_answers.get(&name) == Some(&DownAnswer::Other) {
+                let clock = Some(now.0 + OTHER_AHEAD_MS);
+                let outcome = OrderOutcome::Refused(OrderRefusal::OtherLife, clock);
+                self.return_outcome(vm, incarnation, order, outcome);
+            }
             return;
         }
-        let had = if let OrderBody::Start { task, .. } = &order.body {
-            runner.runs.contains_key(task)
-        } else {
-            true
-        };
+        let known: Vec<(TaskRef, u32)> = runner.runs.keys().copied().collect();
         let outcome = runner.carry_out(&order, demand, work_ms, now);
-        if !had
-            && let OrderBody::Start { task, .. } = &order.body
+        if let OrderBody::Start { task, run, .. } = &order.body
+            && !known.contains(&(*task, *run))
             && matches!(outcome, OrderOutcome::Executed(..))
         {
-            let task = *task;
-            self.check_start(&name, task, &vm);
+            let origin = RunOrigin { vm: vm.clone(), sent_at, began_at: now };
+            self.origins.insert((name.clone(), *task, *run), origin);
+            self.check_start(&name, *task, *run);
+        }
+        if self.keeps_notes && !matches!(order.body, OrderBody::Poll { .. }) {
+            let note = format!("{now} {name} order of {vm}, sent {sent_at}: {:?}", order.body);
+            self.notes.push(format!("{note}: {outcome:?}"));
         }
-        if is_late {
+        if !self.open_orders.contains(&(vm.clone(), incarnation, order.number.0)) {
             return;
         }
         if let OrderBody::Poll { wait_ms, .. } = &order.body
@@ -786,10 +1002,14 @@
         if self.is_cut(order.endpoint.as_str(), vm.as_str()) {
             return;
         }
-        if self.rng.random_range(0..1000) < self.lose_milli {
+        if self.rng.random_range(0..1000) < self.lose_milli
+            || self.runners.get(&order.endpoint).is_some_and(|it| it.is_mute)
+        {
             return;
         }
-        let at = self.now.plus_ms(1);
+        let is_slow = self.in_series && self.rng.random_range(0..1000) < self.delay_milli;
+        let transit_ms = if is_slow { self.rng.random_range(2..300) } else { 1 };
+        let at = self.now.plus_ms(transit_ms);
         self.push(at, WorldEvent::Outcome(vm, incarnation, order, outcome));
     }
 
@@ -799,13 +1019,16 @@
         (job.offer.steps[task.step as usize].demand, job.work_ms)
     }
 
-    fn check_start(&mut self, name: &EndpointName, task: TaskRef, vm: &VmName) {
-        let twice = self
-            .runners
-            .iter()
-            .find(|(other, it)| *other != name && it.up && it.runs.contains_key(&task));
-        if let Some((other, _)) = twice {
-            let text = format!("{}: {task:?} at work on {other} and {name}, by {vm}", self.now);
+    fn check_start(&mut self, name: &EndpointName, task: TaskRef, run: u32) {
+        let mut others = Vec::new();
+        for (other, runner) in self.runners.iter().filter(|(_, it)| it.up) {
+            let is_other = |key: &&(TaskRef, u32)| key.0 == task && (other != name || key.1 != run);
+            others.extend(runner.runs.keys().filter(is_other).map(|key| (other.clone(), key.1)));
+        }
+        for (other, other_run) in others {
+            let former = self.describe_run(&other, task, other_run);
+            let latter = self.describe_run(name, task, run);
+            let text = format!("{}: {task:?} at work twice: {former}; {latter}", self.now);
             self.violations.push(text);
         }
         if let Some(job) = self.jobs.get(&task.job)
@@ -813,16 +1036,40 @@
         {
             self.violations.push(format!("{}: {task:?} of a refused job starts", self.now));
         }
+        let Some(origin) = self.origins.get(&(name.clone(), task, run)) else { return };
         // One that stood still has not heard yet that an endpoint leaves.
-        let disturbed_at = self.disturbed_at.get(vm).copied().unwrap_or_default();
+        let disturbed_at = self.disturbed_at.get(&origin.vm).copied().unwrap_or_default();
+        // A start that was held up is judged by when it was ordered.
+        let is_held_up = HELD_UP_MS < self.now.since_ms(origin.sent_at);
+        let started_at = if is_held_up { origin.sent_at } else { self.now };
         if let Some(since) = self.leaving_since.get(name)
             && IN_TOUCH_MS <= self.now.since_ms(disturbed_at)
-            && DRAIN_MS < self.now.since_ms(*since)
+            && DRAIN_MS < started_at.since_ms(*since)
         {
             self.violations.push(format!("{}: {task:?} starts on {name}, which leaves", self.now));
         }
     }
 
+    /// A run with who ordered it, and why the leader took it to be over.
+    fn describe_run(&self, name: &EndpointName, task: TaskRef, run: u32) -> String {
+        let mut text = format!("run {run} on {name}");
+        if let Some(RunOrigin { vm, sent_at, began_at }) =
+            self.origins.get(&(name.clone(), task, run))
+        {
+            text += &format!(" (ordered by {vm} at {sent_at}, began at {began_at}");
+            let born_at = self.runners.get(name).map(|it| it.record.incarnation);
+            if born_at.is_some_and(|it| sent_at.0 < it) {
+                text += " in another life";
+            }
+            text += ")";
+        }
+        let key = (task.job, u64::from(task.idx), u64::from(run), name.to_string());
+        if let Some(it) = self.proofs.get(&key) {
+            text += &format!(" [requeued at {}: {}]", it.at, it.outcome);
+        }
+        text
+    }
+
     fn end_look(&mut self, event: WorldEvent) {
         let WorldEvent::LookEnds(vm, incarnation, order) = event else { return };
         let Some(looks) = self.pending_looks.get_mut(&order.endpoint) else { return };
@@ -838,8 +1085,7 @@
         if !runner.up || self.is_cut(vm.as_str(), order.endpoint.as_str()) {
             return;
         }
-        let clock = self.now.0 + runner.clock_ahead;
-        let outcome = OrderOutcome::Executed(clock, Some(runner.lists(self.now)));
+        let outcome = OrderOutcome::Executed(runner.clock(self.now), Some(runner.lists(self.now)));
         self.return_outcome(vm, incarnation, order, outcome);
     }
 
@@ -869,17 +1115,31 @@
         if self.keeps_notes {
             self.notes.push(format!("{} fault {fault:?}", self.now));
         }
+        let is_moot = match &fault {
+            CellFault::Crash(name, ..) => self.runners.get(name).is_none_or(|it| !it.up),
+            CellFault::Depart(name, ..) => {
+                self.runners.get(name).is_none_or(|it| !it.up || !it.record.leaving)
+            }
+            _ => false,
+        };
+        if is_moot {
+            return;
+        }
         let mend_after = |span_ms: &u64| self.now.plus_ms(*span_ms);
         let mend_at = match &fault {
             CellFault::CutCentre(_, span_ms)
             | CellFault::CutEntry(_, _, span_ms)
-            | CellFault::CutRunner(_, span_ms)
+            | CellFault::CutRunner(_, _, span_ms)
+            | CellFault::CutLink(_, _, _, span_ms)
             | CellFault::LoseAnswers(_, span_ms)
             | CellFault::DelayOrders(_, span_ms)
             | CellFault::Fail(_, span_ms)
             | CellFault::Hang(_, span_ms)
             | CellFault::Slow(_, span_ms)
-            | CellFault::Crash(_, span_ms) => Some(mend_after(span_ms)),
+            | CellFault::Mute(_, span_ms)
+            | CellFault::Refuse(_, span_ms)
+            | CellFault::Depart(_, _, span_ms)
+            | CellFault::Crash(_, _, span_ms) => Some(mend_after(span_ms)),
             _ => None,
         };
         match &fault {
@@ -908,21 +1168,27 @@
                     self.announce_all();
                 }
             }
-            CellFault::Crash(name, _) => {
-                if let Some(runner) = self.runners.get_mut(name) {
-                    runner.up = false;
-                    runner.runs.clear();
+            CellFault::Crash(name, answer, _) => self.end_life(name, *answer),
+            CellFault::Depart(name, gone_ms, _) => {
+                self.end_life(name, DownAnswer::Refused);
+                if let Some(runner) = self.runners.get(name) {
+                    let gone = WorldEvent::Gone(runner.record.clone());
+                    self.push(self.now.plus_ms(*gone_ms), gone);
                 }
-                self.pending_looks.swap_remove(name);
             }
+            CellFault::Mute(name, _) => self.with_runner(name, |it| it.is_mute = true),
+            CellFault::Refuse(name, _) => self.with_runner(name, |it| it.refuses = true),
             CellFault::LoseAnswers(milli, _) => self.lose_milli = *milli,
             CellFault::DelayOrders(milli, _) => self.delay_milli = *milli,
             CellFault::Fail(name, _) => self.with_runner(name, |it| it.fails_milli = 900),
             CellFault::Hang(name, _) => self.with_runner(name, |it| it.hangs = true),
             CellFault::Slow(name, _) => self.with_runner(name, |it| it.factor_milli = 6_000),
-            CellFault::CutCentre(..) | CellFault::CutEntry(..) | CellFault::CutRunner(..) => {
+            CellFault::CutCentre(..)
+            | CellFault::CutEntry(..)
+            | CellFault::CutRunner(..)
+            | CellFault::CutLink(..) => {
                 for cut in self.cuts_of(&fault) {
-                    self.cuts.insert(cut);
+                    *self.cuts.entry(cut).or_default() += 1;
                 }
             }
         }
@@ -931,6 +1197,15 @@
         }
     }
 
+    fn end_life(&mut self, name: &EndpointName, answer: DownAnswer) {
+        self.with_runner(name, |it| {
+            it.up = false;
+            it.runs.clear();
+        });
+        self.down_answers.insert(name.clone(), answer);
+        self.pending_looks.swap_remove(name);
+    }
+
     fn with_runner(&mut self, name: &EndpointName, act: impl FnOnce(&mut CellRunner)) {
         if let Some(runner) = self.runners.get_mut(name) {
             act(runner);
@@ -966,11 +1241,12 @@
                     }
                 }
             }
-            CellFault::CutRunner(name, _) => {
+            CellFault::CutRunner(name, ways, _) => {
                 for vm in self.entries.keys() {
-                    both(vm.as_str(), name.as_str());
+                    cuts.extend(link_cuts(vm, name, *ways));
                 }
             }
+            CellFault::CutLink(vm, name, ways, _) => cuts.extend(link_cuts(vm, name, *ways)),
             _ => {}
         }
         cuts
@@ -983,15 +1259,24 @@
             CellFault::Fail(name, _) => self.with_runner(name, |it| it.fails_milli = 0),
             CellFault::Hang(name, _) => self.with_runner(name, |it| it.hangs = false),
             CellFault::Slow(name, _) => self.with_runner(name, |it| it.factor_milli = 1_000),
-            CellFault::Crash(name, _) => {
+            CellFault::Mute(name, _) => self.with_runner(name, |it| it.is_mute = false),
+            CellFault::Refuse(name, _) => self.with_runner(name, |it| it.refuses = false),
+            CellFault::Crash(name, ..) | CellFault::Depart(name, ..) => {
                 let now = self.now;
                 self.leaving_since.swap_remove(name);
                 self.with_runner(name, |it| it.begin_life(now));
+                if self.in_series && self.rng.random_range(0..2) == 0 {
+                    self.announce_all();
+                }
             }
             _ => {
                 for cut in self.cuts_of(fault) {
-                    self.cuts.remove(&cut);
+                    if let Some(n_cuts) = self.cuts.get_mut(&cut) {
+                        *n_cuts -= 1;
+                    }
                 }
+                self.cuts.retain(|_, n_cuts| 0 < *n_cuts);
+                self.release_orders();
             }
         }
     }
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -464,7 +464,7 @@
         let Some(order) = self.looks.swap_remove(name) else { return };
         let runner = &self.runners[name];
         let lists = runner.lists(self.now);
-        let outcome = OrderOutcome::Executed(self.now.0 + runner.clock_ahead, Some(lists));
+        let outcome = OrderOutcome::Executed(runner.clock(self.now), Some(lists));
         self.push(self.now.plus_ms(LINK_MS), LoadEvent::Outcome(order, outcome));
     }
 }
