--- a/testutils/tests/test_cell_world.rs
+++ b/testutils/tests/test_cell_world.rs
@@ -73,7 +73,7 @@
 #[test]
 #[ignore = "known red: issue 26"]
 fn seeds_that_failed_in_series() {
-    let failed: [(u64, usize); 11] = [
+    let failed: [(u64, usize); 13] = [
         // A start that was forgotten when the lease ran out: its task elsewhere, at the same
         // endpoint, and in a second copy of its job at another leader.
         (138, 8),
@@ -91,6 +91,9 @@
         // Another endpoint that answered for a start on its way, and late for a later life.
         (408, 8),
         (1259, 12),
+        // A start whose job was withdrawn, and whose stop was not carried out or was forgotten.
+        (20253, 12),
+        (11095, 4),
     ];
     for (seed, n_faults) in failed {
         check(seed, &series(n_faults));
