cells: an acknowledged stop of an unlisted run waits for the time of a stop

Cause: a start whose answer was lost and that a poll did not list was taken never to have begun as soon as its stop was acknowledged. It may arrive between the poll and the stop; the acknowledgement is the same then, and the run ends up to stop_ms later, while its task is already at work elsewhere.

Whether a run was listed no longer matters: each stopped run counts as over 55 ms after the acknowledgement, or once its end is listed, which polls report at once.

--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -135,12 +135,12 @@
         let mut unclaimed = Vec::new();
         for (task, run) in &endpoint.runs {
             match run.phase {
-                RunPhase::Stopping { acked_at: Some(at), .. }
+                RunPhase::Stopping { acked_at: Some(at) }
                     if STOP_DURATION_MS <= now.since_ms(at) =>
                 {
                     over.push((*task, run.run));
                 }
-                RunPhase::Stopping { acked_at: None, .. }
+                RunPhase::Stopping { acked_at: None }
                     if STOP_RESEND_MS <= now.since_ms(run.sent_at) && endpoint.retry_at <= now =>
                 {
                     resend.push(*task);
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -160,13 +160,9 @@
     ) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let Some(known) = endpoint.runs.get_mut(&task).filter(|it| it.run == run) else { return };
-        let RunPhase::Stopping { acked_at, was_seen } = &mut known.phase else { return };
-        if !matches!(outcome, OrderOutcome::Executed(..)) {
-            return;
-        }
-        acked_at.get_or_insert(now);
-        if !*was_seen && let Some(run) = self.remove_run(name, task, run) {
-            self.requeue(task, &run, name, RunProof::StoppedUnseen, now);
+        let RunPhase::Stopping { acked_at } = &mut known.phase else { return };
+        if matches!(outcome, OrderOutcome::Executed(..)) {
+            acked_at.get_or_insert(now);
         }
     }
 
@@ -266,7 +262,6 @@
                 run.phase = RunPhase::Working;
                 run.since = run.ordered_at;
             }
-            RunPhase::Stopping { was_seen, .. } => *was_seen = true,
             RunPhase::Working if run.run == listed.run => self.check_stall(name, listed, now),
             _ => {}
         }
@@ -356,12 +351,10 @@
     ) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let Some(run) = endpoint.runs.get_mut(&task) else { return };
-        let was_seen = match run.phase {
-            RunPhase::Stopping { .. } => return,
-            RunPhase::Working | RunPhase::Orphan | RunPhase::Ordered => why != "not listed",
-            RunPhase::Doubted => false,
-        };
-        run.phase = RunPhase::Stopping { acked_at: None, was_seen };
+        if matches!(run.phase, RunPhase::Stopping { .. }) {
+            return;
+        }
+        run.phase = RunPhase::Stopping { acked_at: None };
         run.since = now;
         let record = DecisionRecord::new(now, DecisionEvent::TaskStopped, name.as_str(), why)
             .for_job(task.job)
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -39,11 +39,9 @@
     Doubted,
     /// A stop was sent.
     Stopping {
-        /// When the endpoint acknowledged the stop.
+        /// When the endpoint acknowledged the stop. The run may take some time to end, also if
+        /// it was never listed: its start may have arrived just before the stop.
         acked_at: Option<ClockTime>,
-        /// Whether the run is treated as started: then it is over only some time after the
-        /// acknowledgement.
-        was_seen: bool,
     },
     /// A former leader started it, and its job has not been offered to this one.
     Orphan,
--- a/lib/src/cell/run_proof.rs
+++ b/lib/src/cell/run_proof.rs
@@ -16,8 +16,6 @@
     NotSent,
     /// A stop was acknowledged, and the time that a stop takes has passed.
     StopAcknowledged,
-    /// A stop was acknowledged, and the run was never listed.
-    StoppedUnseen,
     /// Every lease that was sent to the endpoint has expired.
     LeaseExpired,
     /// The endpoint was announced as gone.
@@ -42,7 +40,6 @@
             RunProof::Refused(OrderRefusal::Malformed) => "refused: malformed",
             RunProof::NotSent => "not sent",
             RunProof::StopAcknowledged => "stop acknowledged",
-            RunProof::StoppedUnseen => "stopped before it started",
             RunProof::LeaseExpired => "lease ran out",
             RunProof::EndpointGone => "gone",
             RunProof::OtherEndpoint => "another endpoint answers",
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -318,6 +318,31 @@
     let stop = leader.stops().remove(0);
     assert_eq!(leader.starts(), []);
     leader.accept(&stop);
+    assert_eq!(leader.starts(), []);
+    leader.advance_ms(60);
+    assert_eq!(leader.starts().len(), 1);
+}
+
+// Guards against a second start while a stop is in progress: the first start had arrived just
+// before the stop, which the endpoint acknowledged at once and took its time to carry out.
+#[test]
+fn acknowledged_stop_of_an_unlisted_run_proves_nothing_until_a_stop_has_passed() {
+    let mut leader = TestLeader::new(&["a", "b"]);
+    leader.offer(offer(1, 1));
+    let start = leader.starts().remove(0);
+    let name = start.endpoint.to_string();
+    leader.advance_ms(200);
+    leader.answer(&start, OrderOutcome::Lost);
+    leader.advance_ms(10);
+    leader.answer_poll(&name, &[], &[]);
+    leader.advance_ms(10);
+    leader.answer_poll(&name, &[], &[]);
+    let stop = leader.stops().remove(0);
+    leader.accept(&stop);
+    leader.advance_ms(50);
+    assert_eq!(leader.starts(), []);
+    // Once its end is listed, nothing has to be waited for.
+    leader.answer_poll(&name, &[], &[end(1, task(1, 0), 1, RunEnd::Stopped)]);
     assert_eq!(leader.starts().len(), 1);
 }
 
--- a/testutils/tests/test_lost_starts.rs
+++ b/testutils/tests/test_lost_starts.rs
@@ -415,7 +415,6 @@
 
 /// The endpoint answers looks, but the start arrives only between a look and the stop.
 #[test]
-#[ignore = "known red: issue 26"]
 fn task_waits_until_a_stop_has_taken_effect() {
     let mut cell = LostStartCell::new(&["a", "b"]);
     cell.arrives_before_stop = true;
