cells: starts that were never answered are fenced, not forgotten

Cause: "the lease ran out" proves that nothing runs, and was taken to prove that nothing will begin. A start that was never answered may be carried out seconds late. The leader dropped it from its books without a stop, and granted the endpoint another lease for other runs, under which the endpoint admitted it. An endpoint that was dropped, or that began another incarnation, had forgotten stops and token, and an order for a former incarnation was as good as a new one.

The fencing token of an endpoint's orders is now raised when its leases have expired, when it begins another incarnation and when it comes back after it was dropped. It gets no start and no lease before it has accepted the token, and it then refuses all that was sent before, however late it arrives: the protocol's own proof, which needs no list of what may be on its way. Outcomes of orders with a former token prove nothing but their own refusal. A stop that a former incarnation acknowledged is sent again.

Evidence: seven tests of test_lost_starts failed before and hold: the start held up elsewhere, on the same endpoint, into the next incarnation, after a stop, after the endpoint was gone, after its job was withdrawn, and a late answer of the former incarnation.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     cell::{
+        cell_leadership::TOKEN_STEP,
         cell_message::{CellName, CellReport},
         decision_record::DecisionRecord,
         endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
@@ -129,6 +130,8 @@
 pub struct CellDispatcher {
     pub(super) cell: CellName,
     pub(super) token: u64,
+    /// Highest token given to an endpoint.
+    pub(super) highest_token: u64,
     pub(super) endpoints: IndexMap<EndpointName, EndpointState>,
     pub(super) jobs: IndexMap<JobCode, CellJob>,
     pub(super) results: IndexMap<JobCode, JobResult>,
@@ -167,6 +170,7 @@
         CellDispatcher {
             cell,
             token,
+            highest_token: token,
             endpoints: IndexMap::new(),
             jobs: IndexMap::new(),
             results: IndexMap::new(),
@@ -196,6 +200,17 @@
         self.token
     }
 
+    /// Highest token that any endpoint may have seen from this leader.
+    pub fn highest_token(&self) -> u64 {
+        self.highest_token
+    }
+
+    /// Returns a token above all that endpoints have got.
+    pub(super) fn raise_token(&mut self) -> u64 {
+        self.highest_token += TOKEN_STEP;
+        self.highest_token
+    }
+
     /// Last order number in use.
     pub fn last_order(&self) -> u64 {
         self.next_order
@@ -285,14 +300,15 @@
         wait_ms: u64,
         body: OrderBody,
     ) -> Option<OrderNumber> {
-        let address = self.endpoints.get(name)?.record.address.clone();
+        let endpoint = self.endpoints.get(name)?;
+        let (address, token) = (endpoint.record.address.clone(), endpoint.token);
         self.next_order += 1;
         let number = OrderNumber(self.next_order);
         self.effects.push(CellEffect::SendOrder(EndpointOrder {
             number,
             endpoint: name.clone(),
             address,
-            token: self.token,
+            token,
             lease_until,
             time_limit_ms: wait_ms + ORDER_RESPONSE_MS,
             body,
--- a/lib/src/cell/cell_leadership.rs
+++ b/lib/src/cell/cell_leadership.rs
@@ -20,6 +20,9 @@
 /// Bits of a token that distinguish entries with the same epoch. Together with the ms since
 /// 1970 they stay within the 53 bits that every JSON parser keeps exactly.
 const TOKEN_VM_BITS: u32 = 12;
+
+/// Step between two tokens of one VM.
+pub const TOKEN_STEP: u64 = 1 << TOKEN_VM_BITS;
 /// Step by which a fenced leader raises its next token. It doubles with each fence in a row,
 /// as the higher token may come from a clock that is seconds ahead.
 const FENCED_STEP_MS: u64 = 250;
--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -43,17 +43,18 @@
         for name in missing {
             self.requeue_runs(&name, RunProof::EndpointGone, now);
             self.endpoints.swap_remove(&name);
+            // If it comes back, it refuses what was sent to it before.
+            self.raise_token();
         }
         for record in records {
             match self.endpoints.get_mut(&record.name) {
                 Some(endpoint) if endpoint.record.incarnation == record.incarnation => {
                     endpoint.record = record.clone();
                 }
-                Some(endpoint) => {
-                    endpoint.begin_incarnation(record.clone(), now);
-                }
+                Some(_) => self.begin_incarnation(record, now),
                 None => {
-                    self.endpoints.insert(record.name.clone(), EndpointState::new(record.clone()));
+                    let endpoint = EndpointState::new(record.clone(), self.highest_token);
+                    self.endpoints.insert(record.name.clone(), endpoint);
                 }
             }
         }
@@ -72,6 +73,14 @@
         self.needs_placement_pass = true;
     }
 
+    /// Begins another incarnation of a known endpoint.
+    pub(super) fn begin_incarnation(&mut self, record: &EndpointRecord, now: ClockTime) {
+        let token = self.raise_token();
+        if let Some(endpoint) = self.endpoints.get_mut(&record.name) {
+            endpoint.begin_incarnation(record.clone(), token, now);
+        }
+    }
+
     pub(super) fn poll_all(&mut self, now: ClockTime) {
         for idx in 0..self.endpoints.len() {
             self.poll(idx, now);
@@ -84,7 +93,7 @@
         if endpoint.poll.is_some() || now < endpoint.retry_at {
             return;
         }
-        let is_claim = !endpoint.claimed || endpoint.clock.is_none();
+        let is_claim = !endpoint.claimed || !endpoint.token_accepted || endpoint.clock.is_none();
         if !is_claim
             && endpoint.runs.is_empty()
             && !endpoint.owes_cursor
@@ -128,6 +137,12 @@
         let name = name.clone();
         if 0 < endpoint.n_unanswered && !endpoint.runs.is_empty() && endpoint.lease_is_over(now) {
             self.requeue_runs(&name, RunProof::LeaseExpired, now);
+            // The lease ends what runs. A start that was never answered may still arrive, and
+            // would be carried out under the next lease.
+            let token = self.raise_token();
+            if let Some(endpoint) = self.endpoints.get_mut(&name) {
+                endpoint.raise_token(token);
+            }
             return;
         }
         let mut over = Vec::new();
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -40,6 +40,10 @@
     pub fn handle_outcome(&mut self, order: &EndpointOrder, outcome: OrderOutcome, now: ClockTime) {
         let name = &order.endpoint;
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        if order.token < endpoint.token {
+            self.handle_former_outcome(order, &outcome, now);
+            return;
+        }
         let was_answered = match &outcome {
             OrderOutcome::Executed(clock, _) => {
                 endpoint.record_contact(*clock, now);
@@ -59,12 +63,12 @@
             let pause_ms = if endpoint.n_unanswered <= 1 { 0 } else { pause_ms };
             endpoint.retry_at = now.plus_ms(pause_ms.min(MAX_UNANSWERED_PAUSE_MS));
         }
-        match (&outcome, order.token == self.token) {
-            (OrderOutcome::Refused(OrderRefusal::Fenced, _), true) => {
+        match &outcome {
+            OrderOutcome::Refused(OrderRefusal::Fenced, _) => {
                 self.is_fenced = true;
                 self.effects.push(CellEffect::Fenced);
             }
-            (OrderOutcome::Refused(OrderRefusal::OtherLife, _), _) => {
+            OrderOutcome::Refused(OrderRefusal::OtherLife, _) => {
                 self.requeue_runs(name, RunProof::OtherEndpoint, now);
                 if let Some(endpoint) = self.endpoints.get_mut(name) {
                     endpoint.retry_at = now.plus_ms(OTHER_INCARNATION_PAUSE_MS);
@@ -87,6 +91,25 @@
         }
     }
 
+    /// Handles the outcome of an order whose token has been raised since, because its endpoint
+    /// was silent or began another incarnation.
+    ///
+    /// The answer may have come from a former incarnation, and has that one's clock. Only a
+    /// refusal proves something: the refused start reaches no other incarnation.
+    fn handle_former_outcome(
+        &mut self,
+        order: &EndpointOrder,
+        outcome: &OrderOutcome,
+        now: ClockTime,
+    ) {
+        if let OrderBody::Start { task, run, .. } = order.body
+            && matches!(outcome, OrderOutcome::Refused(..) | OrderOutcome::NotSent)
+        {
+            self.handle_start_outcome(&order.endpoint, task, run, outcome, now);
+            self.run_placement_pass(now);
+        }
+    }
+
     pub(super) fn handle_start_outcome(
         &mut self,
         name: &EndpointName,
@@ -198,11 +221,10 @@
         if let Some(incarnation) = lists.incarnation
             && endpoint.record.incarnation < incarnation
         {
+            // The poll carried a token that was sent to the former incarnation as well.
             let record = EndpointRecord { incarnation, ..endpoint.record.clone() };
-            endpoint.begin_incarnation(record, now);
-            if let OrderOutcome::Executed(clock, _) = outcome {
-                endpoint.record_contact(clock, now);
-            }
+            self.begin_incarnation(&record, now);
+            return;
         }
         endpoint.claim();
         self.is_token_accepted = true;
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -143,7 +143,7 @@
         proof: RunProof,
         now: ClockTime,
     ) {
-        if !matches!(proof, RunProof::Ended(_)) {
+        if !matches!(proof, RunProof::Ended(_) | RunProof::Refused(_) | RunProof::NotSent) {
             self.remember_closed_run(task, run.run, name, proof, now);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -82,7 +82,12 @@
 pub(crate) struct EndpointState {
     /// Its latest announcement.
     pub(crate) record: EndpointRecord,
-    /// Whether this incarnation has accepted the leader's token.
+    /// Fencing token of the orders sent to it. It is raised so that the endpoint refuses those
+    /// still on their way.
+    pub(crate) token: u64,
+    /// Whether it has accepted this token.
+    pub(crate) token_accepted: bool,
+    /// Whether this incarnation has listed its runs to this leader.
     pub(crate) claimed: bool,
     /// Last reading of its clock, and our time then.
     pub(crate) clock: Option<(u64, ClockTime)>,
@@ -114,9 +119,11 @@
 
 impl EndpointState {
     /// Creates the state of an endpoint of which only the announcement is known.
-    pub(crate) fn new(record: EndpointRecord) -> EndpointState {
+    pub(crate) fn new(record: EndpointRecord, token: u64) -> EndpointState {
         EndpointState {
             record,
+            token,
+            token_accepted: false,
             claimed: false,
             clock: None,
             lease_until: 0,
@@ -173,6 +180,7 @@
     /// Whether starts may be sent to it.
     pub(crate) fn accepts_starts(&self, now: ClockTime) -> bool {
         self.claimed
+            && self.token_accepted
             && !self.record.leaving
             && self.n_unanswered == 0
             && self.clock.is_some()
@@ -219,8 +227,17 @@
         self.clock_now(now).is_some_and(|it| self.lease_until + LAPSE_MARGIN_MS < it)
     }
 
+    /// Raises the token. The endpoint gets no start and no lease before it has accepted it: it
+    /// then refuses every order sent before, however late that arrives.
+    pub(crate) fn raise_token(&mut self, token: u64) {
+        self.token = token;
+        self.token_accepted = false;
+        self.poll = None;
+    }
+
     /// Records that the endpoint accepted the token; a former leader's lease may still hold.
     pub(crate) fn claim(&mut self) {
+        self.token_accepted = true;
         if !std::mem::replace(&mut self.claimed, true)
             && let Some((clock, _)) = self.clock
         {
@@ -257,15 +274,19 @@
     /// Resets the state for a new incarnation of the endpoint.
     ///
     /// Orders in flight may have reached the new incarnation, so each run stays in doubt until
-    /// it is listed or stopped.
-    pub(crate) fn begin_incarnation(&mut self, record: EndpointRecord, now: ClockTime) {
+    /// it is listed or stopped there; a stop that the former one acknowledged proves nothing. Nor
+    /// does the former one's token, so the new one gets a higher token.
+    pub(crate) fn begin_incarnation(&mut self, record: EndpointRecord, token: u64, now: ClockTime) {
         self.record = record;
+        self.raise_token(token);
         self.speed = EndpointSpeed::default();
         for run in self.runs.values_mut() {
-            if !matches!(run.phase, RunPhase::Stopping { .. }) {
-                run.phase = RunPhase::Doubted;
+            match &mut run.phase {
+                RunPhase::Stopping { acked_at } => *acked_at = None,
+                phase => *phase = RunPhase::Doubted,
             }
             run.was_answered = false;
+            run.sent_at = ClockTime::default();
             run.since = now.minus_ms(1);
         }
         self.claimed = false;
@@ -273,7 +294,6 @@
         self.lease_until = 0;
         self.cursor = 0;
         self.owes_cursor = false;
-        self.poll = None;
         self.n_unanswered = 0;
         self.retry_at = now;
     }
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -154,6 +154,7 @@
     pub(super) fn lose_cell(&mut self, cell: &CellName, now: ClockTime) {
         let Some(mut led) = self.led.swap_remove(cell) else { return };
         led.dispatcher.release_cell(now);
+        self.highest_token = self.highest_token.max(led.dispatcher.highest_token());
         self.views.retain(|name, it| name != cell || it.leader != self.settings.owner.vm);
         let effects = led.dispatcher.drain_effects();
         for effect in effects {
--- a/testutils/tests/test_lost_starts.rs
+++ b/testutils/tests/test_lost_starts.rs
@@ -305,7 +305,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 26"]
 fn start_held_up_until_after_its_lease_is_refused() {
     let mut cell = LostStartCell::new(&["a", "b"]);
     let silent = cell.offer_held(LinkState::Silent);
@@ -316,7 +315,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 26"]
 fn start_held_up_is_refused_where_its_task_runs_again() {
     let mut cell = LostStartCell::new(&["a"]);
     let _ = cell.offer_held(LinkState::Silent);
@@ -325,7 +323,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 26"]
 fn start_held_up_is_refused_by_the_next_life_of_its_endpoint() {
     let mut cell = LostStartCell::new(&["a", "b"]);
     let silent = cell.offer_held(LinkState::Silent);
@@ -337,7 +334,6 @@
 
 /// The stop that proved the start harmless was forgotten with the life that executed it.
 #[test]
-#[ignore = "known red: issue 26"]
 fn stopped_start_is_refused_by_the_next_life_of_its_endpoint() {
     let mut cell = LostStartCell::new(&["a", "b"]);
     let name = cell.offer_held(LinkState::Open);
@@ -354,7 +350,6 @@
 
 /// The answer was under way while the endpoint came back in a new life and got the task again.
 #[test]
-#[ignore = "known red: issue 26"]
 fn late_answer_of_another_endpoint_ends_no_run_of_the_next_life() {
     let mut cell = LostStartCell::new(&["a", "b"]);
     cell.set_capacity("b", 1_000);
@@ -375,7 +370,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 26"]
 fn start_held_up_is_refused_once_its_endpoint_is_announced_again() {
     let mut cell = LostStartCell::new(&["a", "b"]);
     let silent = cell.offer_held(LinkState::Silent);
@@ -399,7 +393,6 @@
 }
 
 #[test]
-#[ignore = "known red: issue 26"]
 fn start_held_up_is_refused_after_its_job_was_offered_again() {
     let mut cell = LostStartCell::new(&["a", "b"]);
     let _ = cell.offer_held(LinkState::Silent);
