cells: an announced departure ends no runs

Cause: a departure names an endpoint, not the incarnation that it ends. The leader took it for proof that every run there was over and started their tasks elsewhere, while the next incarnation went on with them.

A departed endpoint now gets no starts and is dropped once its runs have ended or its lease has expired, whatever the announcement meant; an unclaimed one is kept for the longest lease that a former leader may have granted.

runs_of_an_endpoint_announced_as_gone_go_on and task_of_an_endpoint_that_is_gone_moves_when_its_lease_expires failed before.

--- a/lib/src/cell/cell_placement.rs
+++ b/lib/src/cell/cell_placement.rs
@@ -144,7 +144,7 @@
     step: &JobStep,
     endpoints: &IndexMap<EndpointName, EndpointState>,
 ) -> bool {
-    endpoints.values().any(|it| {
+    endpoints.values().filter(|it| it.departed_at.is_none()).any(|it| {
         let has_label = step.label.as_ref().is_none_or(|label| it.record.labels.contains(label));
         has_label && it.record.capacity.fits(&step.demand)
     })
--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -33,20 +33,19 @@
 
 impl CellDispatcher {
     /// Replaces the cell's endpoints by those announced.
+    ///
+    /// An endpoint that is no longer announced gets no starts, and is dropped once its runs are
+    /// proved to be over: the departure may mean a former incarnation.
     pub fn set_endpoints(&mut self, records: &[EndpointRecord], now: ClockTime) {
-        let missing: Vec<EndpointName> = self
-            .endpoints
-            .keys()
-            .filter(|name| !records.iter().any(|it| it.name == **name))
-            .cloned()
-            .collect();
-        for name in missing {
-            self.requeue_runs(&name, RunProof::EndpointGone, now);
-            self.endpoints.swap_remove(&name);
-            // If it comes back, it refuses what was sent to it before.
-            self.raise_token();
+        for (name, endpoint) in &mut self.endpoints {
+            if !records.iter().any(|it| it.name == *name) {
+                endpoint.departed_at.get_or_insert(now);
+            }
         }
         for record in records {
+            if let Some(endpoint) = self.endpoints.get_mut(&record.name) {
+                endpoint.departed_at = None;
+            }
             match self.endpoints.get_mut(&record.name) {
                 Some(endpoint) if endpoint.record.incarnation == record.incarnation => {
                     endpoint.record = record.clone();
@@ -58,11 +57,22 @@
                 }
             }
         }
+        self.drop_gone(now);
         self.poll_all(now);
         self.needs_placement_pass = true;
         self.run_placement_pass(now);
     }
 
+    /// Drops the endpoints that were announced as gone and can have no runs.
+    fn drop_gone(&mut self, now: ClockTime) {
+        let n_before = self.endpoints.len();
+        self.endpoints.retain(|_, it| !it.is_gone(now));
+        if self.endpoints.len() < n_before {
+            // One that comes back refuses what was sent to it before.
+            self.raise_token();
+        }
+    }
+
     /// Requeues the tasks of all runs on an endpoint, which are over.
     pub(super) fn requeue_runs(&mut self, name: &EndpointName, proof: RunProof, now: ClockTime) {
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
@@ -127,6 +137,7 @@
             self.tick_endpoint(idx, now);
             self.poll(idx, now);
         }
+        self.drop_gone(now);
         self.shed_waiting(now);
         self.needs_placement_pass = true;
         self.run_placement_pass(now);
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -75,7 +75,8 @@
                 * self.locality_factor_milli(step.data_rack.as_deref())
                 / 1000;
             // A sole endpoint is used again even after a failure.
-            let avoid = task.avoid.as_ref().filter(|_| 1 < self.endpoints.len());
+            let n_present = self.endpoints.values().filter(|it| it.departed_at.is_none()).count();
+            let avoid = task.avoid.as_ref().filter(|_| 1 < n_present);
             let due_at = job.due_at;
             let request = PlacementRequest { task: task.task, step, typical_ms, due_at, avoid };
             match cell_placement::choose_endpoint(&request, &self.endpoints, reserved, now) {
--- a/lib/src/cell/dispatch_waits.rs
+++ b/lib/src/cell/dispatch_waits.rs
@@ -125,7 +125,7 @@
         wait_ms: u64,
         now: ClockTime,
     ) -> Option<RefusalCause> {
-        if self.endpoints.is_empty() {
+        if self.endpoints.values().all(|it| it.departed_at.is_some()) {
             return Some(RefusalCause::NoEndpoint);
         }
         let fits = |it| cell_placement::can_ever_fit(it, &self.endpoints);
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -82,6 +82,8 @@
 pub(crate) struct EndpointState {
     /// Its latest announcement.
     pub(crate) record: EndpointRecord,
+    /// When it was announced as gone, if it was. The announcement may mean a former incarnation.
+    pub(crate) departed_at: Option<ClockTime>,
     /// Fencing token of the orders sent to it. It is raised so that the endpoint refuses those
     /// still on their way.
     pub(crate) token: u64,
@@ -122,6 +124,7 @@
     pub(crate) fn new(record: EndpointRecord, token: u64) -> EndpointState {
         EndpointState {
             record,
+            departed_at: None,
             token,
             token_accepted: false,
             claimed: false,
@@ -182,6 +185,7 @@
         self.claimed
             && self.token_accepted
             && !self.record.leaving
+            && self.departed_at.is_none()
             && self.n_unanswered == 0
             && self.clock.is_some()
             && self.start_at <= now
@@ -227,6 +231,12 @@
         self.clock_now(now).is_some_and(|it| self.lease_until + LAPSE_MARGIN_MS < it)
     }
 
+    /// Whether it was announced as gone and can have no runs, also none of a former leader.
+    pub(crate) fn is_gone(&self, now: ClockTime) -> bool {
+        let wait_ms = if self.claimed { 0 } else { LONGEST_LEASE_MS + LAPSE_MARGIN_MS };
+        self.runs.is_empty() && self.departed_at.is_some_and(|at| wait_ms <= now.since_ms(at))
+    }
+
     /// Raises the token. The endpoint gets no start and no lease before it has accepted it: it
     /// then refuses every order sent before, however late that arrives.
     pub(crate) fn raise_token(&mut self, token: u64) {
--- a/lib/src/cell/run_proof.rs
+++ b/lib/src/cell/run_proof.rs
@@ -18,8 +18,6 @@
     StopAcknowledged,
     /// Every lease that was sent to the endpoint has expired.
     LeaseExpired,
-    /// The endpoint was announced as gone.
-    EndpointGone,
 }
 
 impl RunProof {
@@ -39,7 +37,6 @@
             RunProof::NotSent => "not sent",
             RunProof::StopAcknowledged => "stop acknowledged",
             RunProof::LeaseExpired => "lease ran out",
-            RunProof::EndpointGone => "gone",
         }
     }
 }
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -423,6 +423,44 @@
     assert_eq!((leader.starts(), leader.stops()), (vec![], vec![]));
 }
 
+// Guards against a task at work twice after a late departure: it meant the former incarnation of an
+// endpoint that works on.
+#[test]
+fn runs_of_an_endpoint_announced_as_gone_go_on() {
+    let mut leader = TestLeader::new(&["a", "b"]);
+    let start = leader.begin(offer(1, 1)).remove(0);
+    let name = start.endpoint.to_string();
+    let other = if name == "a" { record("b") } else { record("a") };
+    leader.dispatcher.set_endpoints(&[other], leader.now);
+    leader.advance_ms(200);
+    assert_eq!(leader.starts(), []);
+    leader.answer_poll(&name, &[], &[end(1, task(1, 0), 1, RunEnd::Done)]);
+    assert_eq!(leader.results, [(JobCode(1), 1, JobResult::Completed)]);
+    leader.offer(offer(2, 2));
+    assert!(leader.starts().iter().all(|it| it.endpoint.as_str() != name));
+}
+
+#[test]
+fn task_of_an_endpoint_that_is_gone_moves_when_its_lease_expires() {
+    let mut leader = TestLeader::new(&["a", "b"]);
+    let start = leader.begin(offer(1, 1)).remove(0);
+    let other = if start.endpoint.as_str() == "a" { record("b") } else { record("a") };
+    leader.dispatcher.set_endpoints(&[other], leader.now);
+    let departed_at = leader.now;
+    while leader.now.since_ms(departed_at) < 1_200 {
+        leader.advance_ms(20);
+        for order in std::mem::take(&mut leader.orders) {
+            if order.endpoint == start.endpoint {
+                leader.answer(&order, OrderOutcome::NotSent);
+            } else if matches!(order.body, OrderBody::Start { .. }) {
+                assert!(800 < leader.now.since_ms(departed_at), "{}", leader.now);
+                return;
+            }
+        }
+    }
+    panic!("the task was not started on another endpoint");
+}
+
 #[test]
 fn leaving_endpoint_gets_no_start() {
     let mut leader = TestLeader::new(&["a"]);
