cells: an older announcement does not undo a newer incarnation

A leader that had learned of an endpoint's new incarnation from a poll took the next announcement of the former one for another change, put all runs in doubt, forgot lease, clock and cursor and claimed the endpoint again, at each update until the directory had heard of the new one.

Announcements of an older incarnation are now left alone.

--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -50,6 +50,8 @@
                 Some(endpoint) if endpoint.record.incarnation == record.incarnation => {
                     endpoint.record = record.clone();
                 }
+                // A poll may tell of an incarnation before its announcement arrives.
+                Some(endpoint) if record.incarnation < endpoint.record.incarnation => {}
                 Some(_) => self.begin_incarnation(record, now),
                 None => {
                     let endpoint = EndpointState::new(record.clone(), self.highest_token);
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -461,6 +461,27 @@
     panic!("the task was not started on another endpoint");
 }
 
+// Guards against giving up the runs of a live endpoint: its poll had told of an incarnation that
+// the announcement at hand did not know yet.
+#[test]
+fn older_announcement_does_not_undo_a_newer_incarnation() {
+    let mut leader = TestLeader::new(&["a"]);
+    leader.offer(offer(1, 1));
+    let start = leader.starts().remove(0);
+    let newer = INCARNATION + 9;
+    leader.answer(&start, OrderOutcome::Lost);
+    leader.advance_ms(10);
+    leader.answer_poll_as("a", newer, &[(task(1, 0), 1)], &[]);
+    leader.answer_poll_as("a", newer, &[(task(1, 0), 1)], &[]);
+    leader.orders.clear();
+    leader.dispatcher.set_endpoints(&[record("a")], leader.now);
+    leader.drain();
+    // The poll that waits for the run's end goes on, and no other one claims the endpoint again.
+    assert_eq!(leader.orders, []);
+    leader.offer(offer(2, 1));
+    assert_eq!(leader.starts().len(), 1);
+}
+
 #[test]
 fn leaving_endpoint_gets_no_start() {
     let mut leader = TestLeader::new(&["a"]);
