cell: a report with another endpoint's address does not displace it

Seen by callers: a report under another id that names the address of an endpoint, with a `born` no earlier, and that endpoint is dropped for as long as its process runs or the other report is repeated. Its runs count as over while they work, so their tasks start a second time elsewhere. Cause: of two endpoints at one address the directory kept the one that started later and marked the other gone, which is final for an incarnation. An announcement proves nothing about who listens at the address that it names. Change: the directory knows endpoints by name only. Each order names its endpoint, so the address itself tells whose it is: a 421 has always proved that the runs of the intended one are over there. An endpoint that another one displaced is not claimed any more, so it gets no start until it answers, and counts as known to run nothing. A former endpoint is asked every two seconds until it expires; its runs end as soon as the new one answers, or with their lease.

--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -66,7 +66,7 @@
             (OrderOutcome::Refused(OrderRefusal::OtherLife, _), _) => {
                 self.requeue_runs(name, "another endpoint answers", now);
                 if let Some(endpoint) = self.endpoints.get_mut(name) {
-                    endpoint.retry_at = now.plus_ms(OTHER_INCARNATION_PAUSE_MS);
+                    endpoint.record_displaced(now.plus_ms(OTHER_INCARNATION_PAUSE_MS));
                 }
             }
             _ => {}
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -44,7 +44,7 @@
 
     /// Whether every endpoint that a former leader may have used has listed its runs.
     pub(super) fn former_runs_are_known(&self) -> bool {
-        self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed)
+        self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed || it.is_displaced)
     }
 
     pub(super) fn place_job(
--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -2,8 +2,11 @@
 //!
 //! A control VM receives announcements and broadcasts changes; entries merge the updates of
 //! several control VMs. Of two announcements of one incarnation the one with the higher
-//! sequence number is newer. A later incarnation replaces an earlier one under the same name
-//! or at the same address. Leaving is final for an incarnation.
+//! sequence number is newer. A later incarnation replaces an earlier one under the same name.
+//! Leaving is final for an incarnation.
+//!
+//! Endpoints that announce the same address are all kept: only the answer from there tells
+//! which of them it is.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -93,8 +96,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
     entries: IndexMap<EndpointName, DirectoryEntry>,
-    /// Latest endpoint to start at each address.
-    names_by_address: IndexMap<String, EndpointName>,
     /// Live endpoints by cell: a scan over all endpoints for each heartbeat would cost a large
     /// fleet more than its jobs.
     names_by_cell: IndexMap<CellName, IndexSet<EndpointName>>,
@@ -133,13 +134,6 @@
         is_direct: bool,
         now: ClockTime,
     ) -> DirectoryChange {
-        let entry_at_address = self.entry_at_address(&record.address);
-        let is_superseded = entry_at_address.is_some_and(|it| {
-            it.record.name != record.name && record.incarnation < it.record.incarnation
-        });
-        if is_superseded {
-            return DirectoryChange::Same;
-        }
         let mut change = DirectoryChange::Changed;
         let mut sent_at = ClockTime::default();
         if let Some(known) = self.entries.get_mut(&record.name) {
@@ -160,7 +154,6 @@
                 }
             }
         }
-        self.assign_address(&record);
         self.assign_cell(&record);
         let entry =
             DirectoryEntry { gone: false, last_contact_at: now, sent_at, is_direct, record };
@@ -168,27 +161,6 @@
         change
     }
 
-    fn entry_at_address(&self, address: &str) -> Option<&DirectoryEntry> {
-        let entry = self.entries.get(self.names_by_address.get(address)?)?;
-        (entry.record.address == address).then_some(entry)
-    }
-
-    /// Assigns an address to an endpoint and marks a former endpoint there as gone.
-    fn assign_address(&mut self, record: &EndpointRecord) {
-        let former = self.names_by_address.get(&record.address);
-        if former == Some(&record.name) {
-            return;
-        }
-        if let Some(former) = former.cloned()
-            && let Some(entry) = self.entries.get_mut(&former)
-            && entry.record.address == record.address
-        {
-            entry.gone = true;
-            remove_from_cell(&mut self.names_by_cell, &entry.record);
-        }
-        self.names_by_address.insert(record.address.clone(), record.name.clone());
-    }
-
     /// Lists an endpoint under its cell, and no longer under a former one.
     fn assign_cell(&mut self, record: &EndpointRecord) {
         let cell = record.cell();
@@ -263,10 +235,6 @@
             }
             is_kept
         });
-        if expired.is_empty() {
-            return expired;
-        }
-        self.names_by_address.retain(|_, name| self.entries.contains_key(name));
         expired
     }
 }
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -84,6 +84,8 @@
     pub(crate) record: EndpointRecord,
     /// Whether this incarnation has accepted the leader's token.
     pub(crate) claimed: bool,
+    /// Whether another endpoint answers at its address, so that no run of its own is left there.
+    pub(crate) is_displaced: bool,
     /// Last reading of its clock, and our time then.
     pub(crate) clock: Option<(u64, ClockTime)>,
     /// End of the latest lease sent, on its clock.
@@ -118,6 +120,7 @@
         EndpointState {
             record,
             claimed: false,
+            is_displaced: false,
             clock: None,
             lease_until: 0,
             runs: IndexMap::new(),
@@ -221,6 +224,7 @@
 
     /// Records that the endpoint accepted the token; a former leader's lease may still hold.
     pub(crate) fn claim(&mut self) {
+        self.is_displaced = false;
         if !std::mem::replace(&mut self.claimed, true)
             && let Some((clock, _)) = self.clock
         {
@@ -228,6 +232,13 @@
         }
     }
 
+    /// Records that another endpoint answered at its address; it must be claimed anew.
+    pub(crate) fn record_displaced(&mut self, retry_at: ClockTime) {
+        self.claimed = false;
+        self.is_displaced = true;
+        self.retry_at = retry_at;
+    }
+
     /// Records an answer.
     pub(crate) fn record_contact(&mut self, clock: u64, now: ClockTime) {
         self.clock = Some((clock, now));
@@ -268,6 +279,7 @@
             run.since = now.minus_ms(1);
         }
         self.claimed = false;
+        self.is_displaced = false;
         self.clock = None;
         self.lease_until = 0;
         self.cursor = 0;
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -268,6 +268,37 @@
     assert_eq!(leader.results, [(JobCode(1), 1, JobResult::Completed)]);
 }
 
+/// Guards against repeated jobs that wait for a former endpoint: another one answers at its
+/// address.
+#[test]
+fn repeated_job_does_not_wait_for_a_displaced_endpoint() {
+    let mut leader = TestLeader::unclaimed(&["a", "b"]);
+    leader.answer_poll("a", &[], &[]);
+    let poll = leader.orders.iter().find(|it| it.endpoint.as_str() == "b").unwrap().clone();
+    leader.answer(&poll, OrderOutcome::Refused(OrderRefusal::OtherLife, None));
+    leader.offer(JobOffer { is_repeat: true, ..offer(1, 1) });
+    assert_eq!(leader.starts().len(), 1);
+}
+
+/// Guards against starts that a former endpoint can't take: another one answers at its address,
+/// and its room is not the former one's.
+#[test]
+fn displaced_endpoint_gets_no_start_until_it_is_claimed_anew() {
+    let mut leader = TestLeader::new(&["a"]);
+    let starts = leader.begin(offer(1, 1));
+    leader.offer(offer(2, 1));
+    let start = leader.starts().pop().unwrap();
+    leader.answer(&start, OrderOutcome::Refused(OrderRefusal::OtherLife, None));
+    assert_eq!(starts.len(), 1);
+    leader.advance_ms(1_900);
+    leader.offer(offer(3, 1));
+    leader.advance_ms(300);
+    assert_eq!(leader.starts(), []);
+    leader.answer_poll("a", &[], &[]);
+    leader.offer(offer(4, 1));
+    assert!(!leader.starts().is_empty());
+}
+
 #[test]
 fn repeated_job_is_placed_once_leases_have_expired() {
     let mut leader = TestLeader::unclaimed(&["a", "b"]);
