cell: a report with a huge sequence number shadows no endpoint for good

Seen by callers: one report under an endpoint's id and `born`, with a sequence number that the endpoint never reaches, and what it says (an address, a capacity of 0) holds for as long as the endpoint lives. Cause: the endpoint's own reports are older by number, so they changed nothing, yet they renewed the time of the last contact of the odd one, which therefore never expired. Evidence: report_with_a_huge_sequence_number_shadows_no_endpoint_for_good failed before: no start 45 s after a report with the number 1,000,000. Change: an announcement with a lower number is no contact; one with the same number is, as a repeat from a peer. Whether that can be sooner is open: a number alone does not tell which of two reports is the endpoint's.

--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -2,8 +2,8 @@
 //!
 //! A control VM receives announcements and broadcasts changes; entries merge the updates of
 //! several control VMs. Of two announcements of one incarnation the one with the higher
-//! sequence number is newer. A later incarnation replaces an earlier one under the same name.
-//! Leaving is final for an incarnation.
+//! sequence number is newer, and an older one is no sign of life. A later incarnation replaces
+//! an earlier one under the same name. Leaving is final for an incarnation.
 //!
 //! Endpoints that announce the same address are all kept: only the answer from there tells
 //! which of them it is.
@@ -138,7 +138,11 @@
         let mut sent_at = ClockTime::default();
         if let Some(known) = self.entries.get_mut(&record.name) {
             if !record.is_newer_than(&known.record) {
-                if record.incarnation == known.record.incarnation && !known.gone {
+                // An older one is no contact: another writer's with a number that the endpoint
+                // never reaches expires.
+                let is_repeat = record.incarnation == known.record.incarnation
+                    && record.seq == known.record.seq;
+                if is_repeat && !known.gone {
                     known.last_contact_at = now;
                 }
                 return DirectoryChange::Same;
