cell: a report with another address of an incarnation moves no orders

Seen by callers: a report under an endpoint's id and `born`, with the next sequence number and another address, and the endpoint's orders go there until its next report. If another endpoint listens there, its 421 counts as the proof that the intended one's runs are over, so their tasks start a second time. Cause: the newest announcement of an incarnation replaced all that was known of it, the address too. Evidence: report_with_another_address_of_an_incarnation_moves_no_orders failed before: no start on the endpoint. Change: a process listens at one address for as long as it runs, so an announcement of a known incarnation with another address changes nothing. A later incarnation may be elsewhere.

--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -5,8 +5,8 @@
 //! sequence number is newer, and an older one is no sign of life. A later incarnation replaces
 //! an earlier one under the same name. Leaving is final for an incarnation.
 //!
-//! Endpoints that announce the same address are all kept: only the answer from there tells
-//! which of them it is.
+//! An incarnation keeps its address. Endpoints that announce the same address are all kept:
+//! only the answer from there tells which of them it is.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -148,7 +148,8 @@
                 return DirectoryChange::Same;
             }
             if record.incarnation == known.record.incarnation {
-                if known.gone {
+                // A process listens at the same address for as long as it runs.
+                if known.gone || record.address != known.record.address {
                     return DirectoryChange::Same;
                 }
                 record.leaving |= known.record.leaving;
