--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -87,12 +87,18 @@
 #[derive(Clone)]
 pub struct ServiceHandle {
     inbox: mpsc::UnboundedSender<ServiceInput>,
+    clock: WallClock,
     /// Links that fault injection has cut.
     #[cfg(feature = "fault-injection")]
     pub cuts: crate::peer_link::LinkCuts,
 }
 
 impl ServiceHandle {
+    /// The time by the control VM's clock.
+    pub fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+
     /// Changes the configuration; returns the version made.
     ///
     /// # Errors
@@ -212,6 +218,7 @@
     drop(link);
     Ok(ServiceHandle {
         inbox,
+        clock,
         #[cfg(feature = "fault-injection")]
         cuts: link.cuts,
     })
