--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -72,7 +72,7 @@
             }
             OrderOutcome::Refused(OrderRefusal::OtherLife, _) => {
                 // The endpoint may have moved, so its runs go on until their lease expires.
-                endpoint.retry_at = now.plus_ms(OTHER_INCARNATION_PAUSE_MS);
+                endpoint.record_displaced(now.plus_ms(OTHER_INCARNATION_PAUSE_MS));
             }
             _ => {}
         }
