--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -125,12 +125,12 @@
 impl JobOffer {
     /// Latency objective, in ms, for a critical path of `critical_path_ms`.
     pub fn objective_ms(&self, critical_path_ms: u64) -> u64 {
-        critical_path_ms * self.stretch_milli / 1000 + self.slack_ms
+        (critical_path_ms.saturating_mul(self.stretch_milli) / 1000).saturating_add(self.slack_ms)
     }
 
     /// Time after its submission from which an answer has no value for the caller, in ms.
     pub fn useful_ms(&self, critical_path_ms: u64) -> u64 {
-        self.objective_ms(critical_path_ms) * EXPIRED_OBJECTIVES
+        self.objective_ms(critical_path_ms).saturating_mul(EXPIRED_OBJECTIVES)
     }
 
     /// Length of the critical path by declared run times, in ms.
