cells: findings of the fix's review

A reviewer who had not seen the work found where the same cause could still act, or where the fix cost too much:

- a start refused for a late lease makes the endpoint's clock unknown, and an unknown clock made every lease of its first incarnation count as expired within 10 ms: leases whose end cannot be read now last as long as a lease can, from when the last one was sent;
- a departed endpoint that another cell's leader had claimed ended the lead of the whole cell: its refusal now only counts as no answer;
- the answer of another endpoint counted at once as proof for a former leader's runs (merged with the odd reports): it does so only when a lease granted before the takeover has expired. repeated_job_does_not_wait_for_a_displaced_endpoint expected the fault; the test that takes its place asks for the wait and for its end;
- a hand-off names the highest token that an endpoint has got, so that the successor exceeds it;
- listed ends are no longer reported as reappeared runs, as lapsed and stopped ones confirm the proof, and the oldest closed run is dropped first.

refusal_of_a_late_lease_does_not_end_the_lease_of_other_runs, departed_endpoint_does_not_fence_its_former_cell and repeated_job_waits_for_a_displaced_endpoint_only_as_long_as_a_lease_may_last failed before. stopped_start_is_refused_by_the_next_life_after_a_departure and task_moves_while_another_endpoint_answers close mutations that no test had noticed.

--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -54,7 +54,7 @@
                 Some(endpoint) if record.incarnation < endpoint.record.incarnation => {}
                 Some(_) => self.begin_incarnation(record, now),
                 None => {
-                    let endpoint = EndpointState::new(record.clone(), self.highest_token);
+                    let endpoint = EndpointState::new(record.clone(), self.highest_token, now);
                     self.endpoints.insert(record.name.clone(), endpoint);
                 }
             }
--- a/lib/src/cell/dispatch_ends.rs
+++ b/lib/src/cell/dispatch_ends.rs
@@ -21,7 +21,6 @@
         endpoint.cursor = end.number;
         endpoint.owes_cursor = true;
         let Some(run) = self.remove_run(name, end.task, end.run) else {
-            self.check_closed_run(end.task, end.run, name, now);
             self.handle_former_end(end, now);
             return;
         };
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -51,6 +51,10 @@
             }
             // Another endpoint has answered. Its clock says nothing about the leases of this one.
             OrderOutcome::Refused(OrderRefusal::OtherLife, _) => false,
+            // It has left for another cell, whose leader it obeys.
+            OrderOutcome::Refused(OrderRefusal::Fenced, _) if endpoint.departed_at.is_some() => {
+                false
+            }
             OrderOutcome::Refused(_, clock) => {
                 if let Some(clock) = clock {
                     endpoint.record_contact(*clock, now);
@@ -66,7 +70,7 @@
             endpoint.retry_at = now.plus_ms(pause_ms.min(MAX_UNANSWERED_PAUSE_MS));
         }
         match &outcome {
-            OrderOutcome::Refused(OrderRefusal::Fenced, _) => {
+            OrderOutcome::Refused(OrderRefusal::Fenced, _) if endpoint.departed_at.is_none() => {
                 self.is_fenced = true;
                 self.effects.push(CellEffect::Fenced);
             }
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -8,7 +8,7 @@
         cell_placement::{self, PlacementChoice, PlacementRequest},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_order::OrderBody,
-        endpoint_state::{EndpointRun, RunPhase},
+        endpoint_state::{EndpointRun, EndpointState, RunPhase},
         job_offer::{JobCode, TaskRef},
         run_proof::RunProof,
     },
@@ -32,7 +32,7 @@
         if self.is_fenced || !std::mem::take(&mut self.needs_placement_pass) {
             return;
         }
-        let are_known = self.former_runs_are_known();
+        let are_known = self.former_runs_are_known(now);
         if !self.endpoints.values().any(|it| it.accepts_starts(now)) {
             return;
         }
@@ -50,8 +50,9 @@
     }
 
     /// Whether every endpoint that a former leader may have used has listed its runs.
-    pub(super) fn former_runs_are_known(&self) -> bool {
-        self.endpoints_are_known && self.endpoints.values().all(|it| it.claimed || it.is_displaced)
+    pub(super) fn former_runs_are_known(&self, now: ClockTime) -> bool {
+        let is_known = |it: &EndpointState| it.claimed || it.is_displaced_for_good(now);
+        self.endpoints_are_known && self.endpoints.values().all(is_known)
     }
 
     pub(super) fn place_job(
@@ -173,7 +174,7 @@
         now: ClockTime,
     ) {
         if MAX_CLOSED_RUNS <= self.closed_runs.len() {
-            self.closed_runs.swap_remove_index(0);
+            self.closed_runs.shift_remove_index(0);
         }
         let closed = ClosedRun { run, proof, closed_at: now };
         self.closed_runs.insert((name.clone(), task), closed);
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -86,6 +86,8 @@
     pub(crate) record: EndpointRecord,
     /// When its incarnation was learned of.
     pub(crate) begun_at: ClockTime,
+    /// When a lease was last sent.
+    pub(crate) leased_at: ClockTime,
     /// When it was announced as gone, if it was. The announcement may mean a former incarnation.
     pub(crate) departed_at: Option<ClockTime>,
     /// Fencing token of the orders sent to it. It is raised so that the endpoint refuses those
@@ -95,7 +97,7 @@
     pub(crate) token_accepted: bool,
     /// Whether this incarnation has listed its runs to this leader.
     pub(crate) claimed: bool,
-    /// Whether another endpoint answers at its address, so that no run of its own is left there.
+    /// Whether another endpoint answers at its address.
     pub(crate) is_displaced: bool,
     /// Last reading of its clock, and our time then.
     pub(crate) clock: Option<(u64, ClockTime)>,
@@ -127,10 +129,11 @@
 
 impl EndpointState {
     /// Creates the state of an endpoint of which only the announcement is known.
-    pub(crate) fn new(record: EndpointRecord, token: u64) -> EndpointState {
+    pub(crate) fn new(record: EndpointRecord, token: u64, now: ClockTime) -> EndpointState {
         EndpointState {
             record,
-            begun_at: ClockTime::default(),
+            begun_at: now,
+            leased_at: ClockTime::default(),
             departed_at: None,
             token,
             token_accepted: false,
@@ -231,6 +234,7 @@
         let (clock, at) = self.clock?;
         let until = clock + now.since_ms(at) + span_ms;
         self.lease_until = self.lease_until.max(until);
+        self.leased_at = now;
         Some(until)
     }
 
@@ -242,12 +246,18 @@
         let is_past = |at: ClockTime| MAX_LEASE_SPAN_MS <= now.since_ms(at);
         let unanswered = self.runs.values().filter(|it| !it.was_answered);
         let is_known_over = match self.clock_now(now) {
-            Some(clock) => self.lease_until + LAPSE_MARGIN_MS < clock,
-            None => is_past(self.begun_at),
+            Some(clock) if self.claimed => self.lease_until + LAPSE_MARGIN_MS < clock,
+            _ => is_past(self.begun_at) && is_past(self.leased_at),
         };
         is_known_over && unanswered.map(|it| it.ordered_at).all(is_past)
     }
 
+    /// Whether another endpoint has its address, and every lease that a former leader may have
+    /// granted it has expired.
+    pub(crate) fn is_displaced_for_good(&self, now: ClockTime) -> bool {
+        self.is_displaced && MAX_LEASE_SPAN_MS <= now.since_ms(self.begun_at)
+    }
+
     /// Whether it was announced as gone and can have no runs, also none of a former leader.
     pub(crate) fn is_gone(&self, now: ClockTime) -> bool {
         let wait_ms = if self.claimed { 0 } else { MAX_LEASE_SPAN_MS };
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -179,7 +179,7 @@
         let cells: Vec<CellName> = self.led.keys().cloned().collect();
         for (cell, successor) in cell_leadership::assign_cells(cells.iter(), &candidates) {
             let Some(led) = self.led.get(&cell) else { continue };
-            let token = led.dispatcher.token();
+            let token = led.dispatcher.highest_token();
             self.send(&successor, CellMessage::TransferLeadership(cell, token));
         }
     }
@@ -195,7 +195,7 @@
             return;
         };
         let Some(led) = self.led.get(&cell) else { return };
-        let token = led.dispatcher.token();
+        let token = led.dispatcher.highest_token();
         self.last_hand_off_at = now;
         self.send(&successor, CellMessage::TransferLeadership(cell, token));
     }
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -268,15 +268,19 @@
     assert_eq!(leader.results, [(JobCode(1), 1, JobResult::Completed)]);
 }
 
-/// Guards against repeated jobs that wait for a former endpoint: another one answers at its
-/// address.
+/// Guards against repeated jobs that wait for a former endpoint for good: another one answers at its
+/// address. A former leader's lease may still hold if the address is another writer's.
 #[test]
-fn repeated_job_does_not_wait_for_a_displaced_endpoint() {
+fn repeated_job_waits_for_a_displaced_endpoint_only_as_long_as_a_lease_may_last() {
     let mut leader = TestLeader::unclaimed(&["a", "b"]);
     leader.answer_poll("a", &[], &[]);
     let poll = leader.orders.iter().find(|it| it.endpoint.as_str() == "b").unwrap().clone();
     leader.answer(&poll, OrderOutcome::Refused(OrderRefusal::OtherLife, None));
+    leader.advance_ms(400);
     leader.offer(JobOffer { is_repeat: true, ..offer(1, 1) });
+    leader.advance_ms(600);
+    assert_eq!(leader.starts(), []);
+    leader.advance_ms(60);
     assert_eq!(leader.starts().len(), 1);
 }
 
@@ -492,6 +496,53 @@
     panic!("the task was not started on another endpoint");
 }
 
+// Guards against a task at work twice after one start came too late: the endpoint's clock counts as
+// unknown then, but not its lease as expired.
+#[test]
+fn refusal_of_a_late_lease_does_not_end_the_lease_of_other_runs() {
+    let mut leader = TestLeader::new(&["a"]);
+    leader.begin(long_offer(1, 1));
+    leader.offer(long_offer(2, 1));
+    let late = leader.starts().remove(0);
+    let clock = leader.clock();
+    leader.answer(&late, OrderOutcome::Refused(OrderRefusal::LateLease, Some(clock)));
+    for poll in std::mem::take(&mut leader.orders) {
+        leader.answer(&poll, OrderOutcome::Lost);
+    }
+    for _ in 0..6 {
+        leader.advance_ms(10);
+        for order in std::mem::take(&mut leader.orders) {
+            let is_second =
+                matches!(order.body, OrderBody::Start { task, .. } if task.job == JobCode(1));
+            assert!(!is_second, "{order:?}");
+            leader.accept(&order);
+        }
+    }
+}
+
+// Guards against a lost cell: an endpoint that has left for another one obeys that one's leader.
+#[test]
+fn departed_endpoint_does_not_fence_its_former_cell() {
+    let mut leader = TestLeader::new(&["a", "b"]);
+    let start = leader.begin(offer(1, 1)).remove(0);
+    let other = if start.endpoint.as_str() == "a" { record("b") } else { record("a") };
+    leader.dispatcher.set_endpoints(&[other], leader.now);
+    let departed_at = leader.now;
+    let clock = leader.clock();
+    while leader.starts().is_empty() {
+        leader.advance_ms(20);
+        for order in std::mem::take(&mut leader.orders) {
+            if order.endpoint == start.endpoint {
+                leader.answer(&order, OrderOutcome::Refused(OrderRefusal::Fenced, Some(clock)));
+            } else if matches!(order.body, OrderBody::Start { .. }) {
+                assert!(!leader.fenced);
+                return;
+            }
+        }
+        assert!(leader.now.since_ms(departed_at) < 1_500, "its task was not placed again");
+    }
+}
+
 // Guards against giving up the runs of a live endpoint: its poll had told of an incarnation that
 // the announcement at hand did not know yet.
 #[test]
--- a/testutils/tests/test_lost_starts.rs
+++ b/testutils/tests/test_lost_starts.rs
@@ -448,3 +448,32 @@
     cell.advance_ms(SILENCE_MS);
     assert_eq!(cell.places().len(), 1, "the task was not placed elsewhere");
 }
+
+/// As stopped_start_is_refused_by_the_next_life_of_its_endpoint, but the endpoint was dropped from the
+/// leader's books between its two lives.
+#[test]
+fn stopped_start_is_refused_by_the_next_life_after_a_departure() {
+    let mut cell = LostStartCell::new(&["a", "b"]);
+    let name = cell.offer_held(LinkState::Open);
+    cell.set_capacity(&name, 1_000);
+    cell.announce(&["a", "b"]);
+    cell.advance_ms(SILENCE_MS);
+    assert!(cell.places().iter().all(|it| it.0.as_str() != name));
+    assert_eq!(cell.places().len(), 1, "the task was not placed elsewhere");
+    let others: Vec<&str> = ["a", "b"].into_iter().filter(|it| *it != name).collect();
+    cell.announce(&others);
+    cell.advance_ms(RETURN_MS);
+    cell.set_capacity(&name, 16_000);
+    cell.begin_life(&name);
+    cell.announce(&["a", "b"]);
+    cell.answer_again_and_arrive();
+}
+
+/// The answers of another endpoint renew no lease.
+#[test]
+fn task_moves_while_another_endpoint_answers() {
+    let mut cell = LostStartCell::new(&["a", "b"]);
+    let _ = cell.offer_held(LinkState::Other);
+    cell.advance_ms(3 * SILENCE_MS);
+    assert_eq!(cell.places().len(), 1, "the task was not placed elsewhere");
+}
