--- a/testutils/tests/test_lost_starts.rs
+++ b/testutils/tests/test_lost_starts.rs
@@ -148,6 +148,18 @@
         held.endpoint.to_string()
     }
 
+    /// Offers a job whose start is held up until its endpoint has acknowledged a stop, and the task
+    /// was placed elsewhere; returns the endpoint.
+    fn offer_stopped(&mut self) -> String {
+        let name = self.offer_held(LinkState::Open);
+        self.set_capacity(&name, 1_000);
+        self.announce(&["a", "b"]);
+        self.advance_ms(SILENCE_MS);
+        assert!(self.places().iter().all(|it| it.0.as_str() != name));
+        assert_eq!(self.places().len(), 1, "the task was not placed elsewhere");
+        name
+    }
+
     fn drain(&mut self) {
         for effect in self.dispatcher.drain_effects() {
             if let CellEffect::SendOrder(order) = effect {
@@ -336,12 +348,7 @@
 #[test]
 fn stopped_start_is_refused_by_the_next_life_of_its_endpoint() {
     let mut cell = LostStartCell::new(&["a", "b"]);
-    let name = cell.offer_held(LinkState::Open);
-    cell.set_capacity(&name, 1_000);
-    cell.announce(&["a", "b"]);
-    cell.advance_ms(SILENCE_MS);
-    assert!(cell.places().iter().all(|it| it.0.as_str() != name));
-    assert_eq!(cell.places().len(), 1, "the task was not placed elsewhere");
+    let name = cell.offer_stopped();
     cell.set_capacity(&name, 16_000);
     cell.begin_life(&name);
     cell.announce(&["a", "b"]);
@@ -454,12 +461,7 @@
 #[test]
 fn stopped_start_is_refused_by_the_next_life_after_a_departure() {
     let mut cell = LostStartCell::new(&["a", "b"]);
-    let name = cell.offer_held(LinkState::Open);
-    cell.set_capacity(&name, 1_000);
-    cell.announce(&["a", "b"]);
-    cell.advance_ms(SILENCE_MS);
-    assert!(cell.places().iter().all(|it| it.0.as_str() != name));
-    assert_eq!(cell.places().len(), 1, "the task was not placed elsewhere");
+    let name = cell.offer_stopped();
     let others: Vec<&str> = ["a", "b"].into_iter().filter(|it| *it != name).collect();
     cell.announce(&others);
     cell.advance_ms(RETURN_MS);
