--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -13,9 +13,10 @@
 //! - [`cell_node`]: the state machine of an entry, which combines both with the
 //!   [`endpoint_directory`], the [`route_plan`] and the heartbeats of peers.
 //!
-//! A task is ordered again only on proof that its former run has not started or has
-//! ended: the endpoint listed its end, acknowledged a stop, refused it or started a new
-//! incarnation, or the run's lease has expired on the endpoint's clock.
+//! A task is ordered again only on proof ([`run_proof`]) that its former run has ended or never
+//! began: the endpoint listed its end, refused its start, acknowledged a stop some time ago, or
+//! its lease has expired on the endpoint's clock. An expired lease proves nothing about starts
+//! still on their way, so the endpoint then gets a higher token before it gets another lease.
 
 pub mod cell_dispatcher;
 pub mod cell_leadership;
