programs: a SIGTERM beside a SIGHUP is not forgotten

Callers saw their requests cut after grace_s: an entry that got SIGHUP and SIGTERM while it did not run reloaded its settings in about half of the cases, forgot the SIGTERM and worked on until it was killed.

The other programs register their listeners before they serve.

--- a/adapters/src/process_setup.rs
+++ b/adapters/src/process_setup.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, bail, ensure};
 use tokio::{
     net::TcpListener,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
 };
 use yuccamux::{
     prelude::VmName,
@@ -107,17 +107,31 @@
         .with_context(|| format!("--listen: could not listen on {address}; is it in use?"))
 }
 
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Errors
-///
-/// When signal handlers cannot be installed.
-pub async fn wait_for_stop() -> anyhow::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// Listeners for SIGTERM and SIGINT. A signal that arrives between two waits is kept, as the
+/// listeners stay registered.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Registers the listeners. From here on neither signal ends the process by itself.
+    ///
+    /// # Errors
+    ///
+    /// When signal handlers cannot be installed.
+    pub fn register() -> anyhow::Result<StopSignals> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(StopSignals { terminate, interrupt })
+    }
+
+    /// Waits for one of the signals. A wait that is dropped takes none.
+    pub async fn wait(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
-    Ok(())
 }
--- a/control/src/main.rs
+++ b/control/src/main.rs
@@ -18,7 +18,7 @@
     http_server::{self, ServerLimits},
     log_lines::{self, LogForm},
     peer_link::AddressBook,
-    process_setup,
+    process_setup::{self, StopSignals},
     setting_args::{self, ProgramSettings},
     wall_clock::WallClock,
 };
@@ -96,6 +96,7 @@
         return Ok(());
     }
     log_lines::start(args.log_form)?;
+    let mut stop_signals = StopSignals::register()?;
     info!("starts as {vm}: {args:?}");
     let sockets = process_setup::bind_links(&layout, &vm)?;
     let clock = WallClock::new();
@@ -118,7 +119,7 @@
     let (stop_sender, stop) = watch::channel(false);
     let handle = move |request| http.clone().handle(request);
     let server = tokio::spawn(http_server::serve(listener, limits, stop, handle));
-    process_setup::wait_for_stop().await?;
+    stop_signals.wait().await;
     stop_sender.send_replace(true);
     server.await?;
     info!("stopped");
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -25,7 +25,7 @@
     http_server::{self, ServerLimits},
     job_service::JobService,
     log_lines::{self, LogForm},
-    process_setup,
+    process_setup::{self, StopSignals},
     setting_args::{self, ProgramSettings},
     wall_clock::WallClock,
 };
@@ -197,6 +197,7 @@
         return Ok(());
     }
     log_lines::start(args.log_form)?;
+    let mut stop_signals = StopSignals::register()?;
     info!("starts as {vm} in {centre}: {args:?}");
     let sockets = process_setup::bind_links(&layout, &vm)?;
     let clock = WallClock::new();
@@ -253,7 +254,7 @@
     let (stop_sender, stop) = watch::channel(false);
     let handle = move |request| http.clone().handle(request);
     let server = tokio::spawn(http_server::serve(listener, limits, stop, handle));
-    process_setup::wait_for_stop().await?;
+    stop_signals.wait().await;
     drain(&jobs, limits.shutdown_timeout).await;
     stop_sender.send_replace(true);
     server.await?;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -95,6 +95,7 @@
         spread: args.spread,
         record: args.record.clone(),
     })?;
+    let mut stop_signals = process_setup::StopSignals::register()?;
     let listener = TcpListener::bind(args.listen).await.context("--listen")?;
     let address = listener.local_addr()?;
     info!("{} listens on {address}", args.name);
@@ -105,7 +106,7 @@
         ServerLimits { shutdown_timeout: Duration::from_secs(5), ..ServerLimits::default() };
     let server = tokio::spawn(http_server::serve(listener, limits, stop, handle));
     let announcing = tokio::spawn(announce(args, address, Arc::clone(&endpoint)));
-    process_setup::wait_for_stop().await?;
+    stop_signals.wait().await;
     endpoint.set_script(StandinScript { leaving: true, ..endpoint.script() });
     time::sleep(LEAVE_TIME).await;
     while 0 < endpoint.n_running() {
