cells: a late departure does not end the next life of an endpoint

An endpoint that started again under its name was never given a task again when the departure of its former life arrived late: a departure (DELETE) names no life, and the directory took it as final for the life it knew. Updates between control VMs and entries spread that, also when a later announcement had disproved it.

A departure is now final only for an incarnation that has announced that it leaves, as the protocol asks before a planned end, or whose address another endpoint has. Another incarnation gets no start until its next announcement with a higher number, and is back with it. A peer's notice of a departure that is older than the known announcement of that incarnation changes nothing, unless it leaves. Leaving stays final, so no late heartbeat brings a departed endpoint back that announced it, and none that comes back this way loses its mark.

Before: late_departure_does_not_end_endpoint_that_works_on failed with (Same, 0) instead of (Changed, 1), and older_notice_of_departure_does_not_end_endpoint with (Changed, 0) instead of (Same, 1). The other three new tests held before and guard what the change must not lose. An endpoint that ends without an announcement of leaving, and whose heartbeat arrives after its DELETE, is listed until it expires; its starts find nobody.

--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -4,6 +4,10 @@
 //! several control VMs. Of two announcements of one incarnation the one with the higher
 //! sequence number is newer. A later incarnation replaces an earlier one under the same name
 //! or at the same address. Leaving is final for an incarnation.
+//!
+//! A departure names no incarnation, so a late one may mean a former one. It is final for an
+//! incarnation that has announced that it leaves; another one is back with its next
+//! announcement.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -79,7 +83,7 @@
 pub struct DirectoryEntry {
     /// Its last announcement.
     pub record: EndpointRecord,
-    /// Whether this incarnation has ended.
+    /// Whether this incarnation has ended, as far as is known.
     pub gone: bool,
     /// When its last announcement or update arrived.
     pub last_contact_at: ClockTime,
@@ -142,6 +146,7 @@
         }
         let mut change = DirectoryChange::Changed;
         let mut sent_at = ClockTime::default();
+        let is_final = self.entries.get(&record.name).is_some_and(|it| self.is_final(it));
         if let Some(known) = self.entries.get_mut(&record.name) {
             if !record.is_newer_than(&known.record) {
                 if record.incarnation == known.record.incarnation && !known.gone {
@@ -150,11 +155,11 @@
                 return DirectoryChange::Same;
             }
             if record.incarnation == known.record.incarnation {
-                if known.gone {
+                if is_final {
                     return DirectoryChange::Same;
                 }
                 record.leaving |= known.record.leaving;
-                if record.equals_ignoring_seq(&known.record) {
+                if !known.gone && record.equals_ignoring_seq(&known.record) {
                     change = DirectoryChange::Same;
                     sent_at = known.sent_at;
                 }
@@ -168,6 +173,13 @@
         change
     }
 
+    /// Whether an incarnation that is gone stays so: it announced that it leaves, or another
+    /// endpoint has its address.
+    fn is_final(&self, entry: &DirectoryEntry) -> bool {
+        let holder = self.names_by_address.get(&entry.record.address);
+        entry.gone && (entry.record.leaving || holder != Some(&entry.record.name))
+    }
+
     fn entry_at_address(&self, address: &str) -> Option<&DirectoryEntry> {
         let entry = self.entries.get(self.names_by_address.get(address)?)?;
         (entry.record.address == address).then_some(entry)
@@ -215,9 +227,19 @@
         }
     }
 
-    /// Merges an update that a peer sent.
+    /// Merges an update that a peer sent. A departure is outdated once the incarnation has
+    /// announced itself again, unless it leaves.
     pub fn merge(&mut self, record: EndpointRecord, gone: bool, now: ClockTime) -> DirectoryChange {
         let (name, incarnation) = (record.name.clone(), record.incarnation);
+        let is_outdated = self.entries.get(&name).is_some_and(|it| {
+            it.record.incarnation == incarnation
+                && record.seq < it.record.seq
+                && !it.record.leaving
+                && !record.leaving
+        });
+        if gone && is_outdated {
+            return DirectoryChange::Same;
+        }
         let announced = self.apply(record, false, now);
         if gone { self.mark_gone(&name, Some(incarnation)) } else { announced }
     }
--- a/lib/tests/test_endpoint_directory.rs
+++ b/lib/tests/test_endpoint_directory.rs
@@ -1,11 +1,12 @@
-//! The directory's list of endpoints by cell under random announcements, ends and expiry.
+//! The directory's list of endpoints by cell under random announcements, ends and expiry, and
+//! what a departure ends.
 
 use indexmap::{IndexMap, IndexSet};
 use proptest::{prelude::*, test_runner::Config};
 use yuccamux::{
     cell::{
         cell_message::CellName,
-        endpoint_directory::{EndpointDirectory, EndpointRecord},
+        endpoint_directory::{DirectoryChange, EndpointDirectory, EndpointRecord},
         job_offer::ResourceAmount,
     },
     prelude::*,
@@ -96,3 +97,79 @@
         }
     }
 }
+
+fn leaving_record(seq: u64) -> EndpointRecord {
+    EndpointRecord { leaving: true, ..record(0, 7, seq, 0, 0) }
+}
+
+fn n_live(directory: &EndpointDirectory) -> usize {
+    directory.live().count()
+}
+
+/// Guards against the late departure of a former life, which ends the next one for good.
+#[test]
+fn late_departure_does_not_end_endpoint_that_works_on() {
+    let mut directory = EndpointDirectory::default();
+    directory.announce(record(0, 7, 3, 0, 0), ClockTime(1_000));
+    directory.mark_gone(&EndpointName::from("endpoint-0"), None);
+    assert_eq!(n_live(&directory), 0);
+    // A copy of what was known before the departure says nothing of the time after it.
+    directory.announce(record(0, 7, 3, 0, 0), ClockTime(1_001));
+    assert_eq!(n_live(&directory), 0);
+    let change = directory.announce(record(0, 7, 4, 0, 0), ClockTime(1_002));
+    assert_eq!((change, n_live(&directory)), (DirectoryChange::Changed, 1));
+    let updates = directory.drain_updates(8_000, ClockTime(1_003));
+    assert_eq!(updates, [(record(0, 7, 4, 0, 0), false)]);
+}
+
+/// Guards against a late heartbeat that brings back an endpoint that announced its end.
+#[test]
+fn departure_is_final_once_leaving_was_announced() {
+    let mut directory = EndpointDirectory::default();
+    directory.announce(leaving_record(3), ClockTime(1_000));
+    directory.mark_gone(&EndpointName::from("endpoint-0"), None);
+    directory.announce(record(0, 7, 4, 0, 0), ClockTime(1_001));
+    directory.announce(leaving_record(5), ClockTime(1_002));
+    directory.merge(record(0, 7, 6, 0, 0), false, ClockTime(1_003));
+    assert_eq!(n_live(&directory), 0);
+}
+
+/// Guards against a peer's notice of a departure that a later announcement has disproved.
+#[test]
+fn older_notice_of_departure_does_not_end_endpoint() {
+    let mut directory = EndpointDirectory::default();
+    directory.announce(record(0, 7, 4, 0, 0), ClockTime(1_000));
+    let change = directory.merge(record(0, 7, 3, 0, 0), true, ClockTime(1_001));
+    assert_eq!((change, n_live(&directory)), (DirectoryChange::Same, 1));
+    directory.merge(record(0, 7, 4, 0, 0), true, ClockTime(1_002));
+    assert_eq!(n_live(&directory), 0);
+}
+
+/// Guards against a departure that is lost, or starts on a leaving endpoint, as the notice of
+/// leaving and the departure reach different control VMs.
+#[test]
+fn departure_and_leaving_meet_in_either_order() {
+    let mut directory = EndpointDirectory::default();
+    directory.announce(leaving_record(4), ClockTime(1_000));
+    directory.merge(record(0, 7, 3, 0, 0), true, ClockTime(1_001));
+    assert_eq!(n_live(&directory), 0);
+
+    let mut directory = EndpointDirectory::default();
+    directory.merge(record(0, 7, 3, 0, 0), true, ClockTime(1_000));
+    directory.merge(leaving_record(4), false, ClockTime(1_001));
+    directory.announce(record(0, 7, 5, 0, 0), ClockTime(1_002));
+    assert!(directory.live().all(|it| it.leaving));
+    directory.merge(leaving_record(4), true, ClockTime(1_003));
+    directory.announce(record(0, 7, 6, 0, 0), ClockTime(1_004));
+    assert_eq!(n_live(&directory), 0);
+}
+
+/// Guards against a former endpoint of an address that comes back beside its successor.
+#[test]
+fn endpoint_replaced_at_its_address_does_not_come_back() {
+    let mut directory = EndpointDirectory::default();
+    directory.announce(record(0, 7, 3, 0, 0), ClockTime(1_000));
+    directory.announce(record(1, 7, 1, 0, 0), ClockTime(1_001));
+    directory.announce(record(0, 7, 4, 0, 0), ClockTime(1_002));
+    assert_eq!(directory.live().map(|it| it.name.as_str()).collect::<Vec<_>>(), ["endpoint-1"]);
+}
