--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -7,6 +7,10 @@
 //!
 //! An incarnation keeps its address. Endpoints that announce the same address are all kept:
 //! only the answer from there tells which of them it is.
+//!
+//! A departure names no incarnation, so a late one may mean a former one. It is final for an
+//! incarnation that has announced that it leaves; another one is back with its next
+//! announcement.
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -82,7 +86,7 @@
 pub struct DirectoryEntry {
     /// Its last announcement.
     pub record: EndpointRecord,
-    /// Whether this incarnation has ended.
+    /// Whether this incarnation has ended, as far as is known.
     pub gone: bool,
     /// When its last announcement or update arrived.
     pub last_contact_at: ClockTime,
@@ -92,6 +96,13 @@
     pub is_direct: bool,
 }
 
+impl DirectoryEntry {
+    /// Whether the incarnation stays gone, as it announced that it leaves.
+    fn is_final(&self) -> bool {
+        self.gone && self.record.leaving
+    }
+}
+
 /// All known endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointDirectory {
@@ -149,11 +160,11 @@
             }
             if record.incarnation == known.record.incarnation {
                 // A process listens at the same address for as long as it runs.
-                if known.gone || record.address != known.record.address {
+                if known.is_final() || record.address != known.record.address {
                     return DirectoryChange::Same;
                 }
                 record.leaving |= known.record.leaving;
-                if record.equals_ignoring_seq(&known.record) {
+                if !known.gone && record.equals_ignoring_seq(&known.record) {
                     change = DirectoryChange::Same;
                     sent_at = known.sent_at;
                 }
@@ -192,9 +203,19 @@
         }
     }
 
-    /// Merges an update that a peer sent.
+    /// Merges an update that a peer sent. A departure is outdated once the incarnation has
+    /// announced itself again, unless it leaves.
     pub fn merge(&mut self, record: EndpointRecord, gone: bool, now: ClockTime) -> DirectoryChange {
         let (name, incarnation) = (record.name.clone(), record.incarnation);
+        let is_outdated = self.entries.get(&name).is_some_and(|it| {
+            it.record.incarnation == incarnation
+                && record.seq < it.record.seq
+                && !it.record.leaving
+                && !record.leaving
+        });
+        if gone && is_outdated {
+            return DirectoryChange::Same;
+        }
         let announced = self.apply(record, false, now);
         if gone { self.mark_gone(&name, Some(incarnation)) } else { announced }
     }
