--- a/lib/src/cell/membership_service.rs
+++ b/lib/src/cell/membership_service.rs
@@ -126,6 +126,7 @@
         let unheard = seeds.iter().chain(&group.vms).filter(|it| !members.contains(it));
         let mut to: Vec<VmName> = members.iter().chain(unheard).cloned().collect();
         to.retain(|it| *it != self.owner.vm);
+        to.sort_unstable();
         to.dedup();
         (to, heartbeat)
     }
--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -69,6 +69,9 @@
     SetGroup(Vec<VmName>),
 }
 
+/// Number of [`ConfigCommand::SetGroup`] in an encoded command.
+const SET_GROUP_NUMBER: u32 = 4;
+
 /// Routes with the text that they came in.
 #[derive(Data!)]
 pub struct StoredPlan {
@@ -221,6 +224,25 @@
         postcard::from_bytes(bytes)
     }
 
+    /// The group that an encoded command sets, if it is such a command.
+    pub fn group_in_command(bytes: &[u8]) -> Option<Vec<VmName>> {
+        // Other commands are as large as all routes, so they are not decoded.
+        let (number, _) = postcard::take_from_bytes::<u32>(bytes).ok()?;
+        if number != SET_GROUP_NUMBER {
+            return None;
+        }
+        match postcard::from_bytes(bytes) {
+            Ok(ConfigCommand::SetGroup(vms)) if !vms.is_empty() => Some(vms),
+            _ => None,
+        }
+    }
+
+    /// The group in an encoded state, if it has been set.
+    pub fn group_in_state(bytes: &[u8]) -> Option<Vec<VmName>> {
+        let state = ConfigState::decode(bytes).ok()?;
+        Some(state.group.vms).filter(|it| !it.is_empty())
+    }
+
     /// Bytes for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).unwrap_or_default()
@@ -255,6 +277,10 @@
             }
             ConfigCommand::PutPlan(plan) => ConfigAnswer::PlanInForce(self.put_plan(plan)),
             ConfigCommand::ReadPlan => ConfigAnswer::PlanRead(self.plan.clone()),
+            ConfigCommand::SetGroup(vms) if vms.is_empty() => {
+                let message = "a control group without a VM can never lead";
+                ConfigAnswer::Refused(RequestError::new(ErrorKind::InvalidChange, message))
+            }
             ConfigCommand::SetGroup(vms) => {
                 self.group = ControlGroup { version: self.group.version + 1, vms };
                 ConfigAnswer::GroupSet
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -26,8 +26,10 @@
     prelude::*,
     proposal_client::{GroupRequest, OutgoingRequest, ProposalClient, RequestResult},
     replica_effect::{HardState, StoreEffect},
-    replica_log::ReplicaLog,
-    replica_node::{BootstrapRule, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule},
+    replica_log::{EntryPayload, ReplicaLog},
+    replica_node::{
+        BootstrapRule, GroupReader, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule,
+    },
     vm_layout::{CONTROL_GROUP, VmLayout, VmRole},
 };
 
@@ -111,7 +113,6 @@
     plan_sent: IndexMap<VmName, (u64, ClockTime)>,
     group_checked_at: ClockTime,
     announced_group: u64,
-    applied_group: u64,
     stopping: bool,
     effects: Vec<ControlEffect>,
 }
@@ -158,6 +159,13 @@
                 ReplicaNode::new_fresh(replica_settings, id, now)
             }
         };
+        let node = match settings.group_rule {
+            GroupRule::Static => node,
+            GroupRule::Dynamic { .. } => node.with_group_reader(GroupReader {
+                in_command: ConfigState::group_in_command,
+                in_state: ConfigState::group_in_state,
+            }),
+        };
         let functions = StateFunctions {
             initial_state: Box::new(|_| ConfigState::default()),
             apply: Box::new(apply_command),
@@ -172,7 +180,6 @@
             plan_sent: IndexMap::new(),
             group_checked_at: now,
             announced_group: 0,
-            applied_group: 0,
             stopping: false,
             client: ProposalClient::new(now.0 << 20),
             settings,
@@ -190,7 +197,7 @@
         {
             // A later start is given no group, so it must be stored before the first vote.
             let vms = control.group_vms.clone();
-            control.group.set_vms(&vms);
+            control.group.learn_vms(&vms);
         }
         control.run_effects(now);
         control
@@ -432,24 +439,35 @@
         }
     }
 
-    /// Applies a change of the group that a peer announced before this VM's log has it.
+    /// Learns the group from a peer's announcement as long as this VM's log does not have it.
     fn follow_announced_group(&mut self, group: &ControlGroup, now: ClockTime) {
-        let own = self.state().group().version;
-        if group.version <= own || group.version <= self.announced_group {
+        let held = self.held_group_version();
+        if group.version <= held || group.version <= self.announced_group {
             return;
         }
         self.announced_group = group.version;
         let is_member = group.vms.contains(&self.settings.owner.vm);
         let has_log = self.node().role() != ReplicaRole::Fresh;
-        if is_member && has_log && !self.node().vms().is_empty() {
-            // The change arrives through the log.
-            return;
-        }
         if has_log && !is_member {
             self.group.leave_group(now);
         }
-        self.group.set_vms(&group.vms);
-        self.group_vms = group.vms.clone();
+        self.group.forbid_bootstrap();
+        // Where the log names a group, changes arrive through it.
+        self.group.learn_vms(&group.vms);
+    }
+
+    /// Number of the newest change of the group that this VM's log holds, applied or not.
+    ///
+    /// After a restart a log may hold changes that it has not applied yet. A VM that took an
+    /// announcement of an older group for news would forget a log that still counts.
+    fn held_group_version(&self) -> u64 {
+        let first = self.node().applied_index() + 1;
+        let entries = self.node().log().entries_from(first, usize::MAX, usize::MAX);
+        let changes = entries.iter().filter(|it| match &it.payload {
+            EntryPayload::Command(it) => ConfigState::group_in_command(it).is_some(),
+            EntryPayload::Noop | EntryPayload::Voters(_) => false,
+        });
+        self.state().group().version + changes.count() as u64
     }
 
     /// Sends the plan to an entry that has only `version`.
@@ -502,7 +520,10 @@
         };
         let plan_version = self.state().plan().map_or(0, |it| it.plan.version);
         let group = self.state().group();
-        self.membership.heartbeats(plan_version, group, self.stopping, seeds, now)
+        // A VM that joins has no state yet, but must be heard by a leader that is no seed.
+        let mut vms = seeds.to_vec();
+        vms.extend(self.group_vms.iter().cloned());
+        self.membership.heartbeats(plan_version, group, self.stopping, &vms, now)
     }
 
     /// Proposes a change of the group by one VM, where one is due.
@@ -523,7 +544,7 @@
         let vms = self.node().vms().to_vec();
         let changed = if known.vms.is_empty() {
             Some(vms)
-        } else if self.voters_match_vms() {
+        } else if self.voters_match_vms() && self.node().may_change_group() {
             let candidates =
                 control_group::candidates(own.clone(), self.membership.live_peers(now));
             control_group::next_group(&vms, &own.vm, *n_wanted, &candidates)
@@ -588,25 +609,18 @@
                 GroupEffect::RoleChanged(role) => {
                     self.effects.push(ControlEffect::RoleChanged(role))
                 }
-                GroupEffect::NewIncarnation(_) => {}
+                // The next announcement names the group to join, which may be newer than the
+                // one that the former log held.
+                GroupEffect::NewIncarnation(_) => self.announced_group = 0,
             }
         }
-        self.apply_group();
+        if self.group_vms != self.node().vms() {
+            self.group_vms = self.node().vms().to_vec();
+        }
         self.push_new_version();
         self.push_new_plan(now);
     }
 
-    /// Puts a newly applied group in force.
-    fn apply_group(&mut self) {
-        let group = self.group.state().group();
-        if self.applied_group < group.version {
-            self.applied_group = group.version;
-            let vms = group.vms.clone();
-            self.group.set_vms(&vms);
-            self.group_vms = vms;
-        }
-    }
-
     /// Pushes a version to every entry as soon as it is applied by the leader.
     fn push_new_version(&mut self) {
         let version = self.group.state().image().version;
--- a/lib/src/log_group.rs
+++ b/lib/src/log_group.rs
@@ -96,12 +96,17 @@
         &self.node
     }
 
-    /// Changes the VMs of the group, once that is committed.
-    pub fn set_vms(&mut self, vms: &[VmName]) {
-        self.node.set_vms(vms);
+    /// Stores the VMs of a group whose log this replica does not have yet.
+    pub fn learn_vms(&mut self, vms: &[VmName]) {
+        self.node.learn_vms(vms);
         self.run_effects();
     }
 
+    /// Keeps this replica from a bootstrap, as its group is known to exist.
+    pub fn forbid_bootstrap(&mut self) {
+        self.node.forbid_bootstrap();
+    }
+
     /// Forgets the log of a group that this VM no longer belongs to.
     pub fn leave_group(&mut self, now: ClockTime) {
         self.node.leave_group(now);
--- a/lib/src/replica_bootstrap.rs
+++ b/lib/src/replica_bootstrap.rs
@@ -60,7 +60,7 @@
     /// Number of VMs without state that take precedence over this one in a bootstrap.
     fn n_fresh_vms_before(&self, now: ClockTime) -> u64 {
         let limit_ms = self.settings.election_ms * FRESH_PEER_ELECTIONS;
-        let ahead = self.settings.vms.iter().take_while(|it| **it != self.hard.id.vm);
+        let ahead = self.vms().iter().take_while(|it| **it != self.hard.id.vm);
         let fresh = ahead.filter(|it| {
             self.fresh_peers.get(*it).is_some_and(|it| now.since_ms(it.last_contact_at) <= limit_ms)
         });
@@ -70,10 +70,10 @@
     fn may_bootstrap(&self, now: ClockTime) -> bool {
         let n_needed = match self.settings.bootstrap_rule {
             BootstrapRule::Majority => self.quorum(),
-            BootstrapRule::All => self.settings.vms.len(),
+            BootstrapRule::All => self.vms().len(),
             BootstrapRule::Never => usize::MAX,
         };
-        let is_member = self.settings.vms.contains(&self.hard.id.vm);
+        let is_member = self.vms().contains(&self.hard.id.vm);
         is_member && !self.is_witness_vm(&self.hard.id.vm) && n_needed <= self.n_fresh_vms(now) + 1
     }
 
@@ -130,7 +130,7 @@
     fn bootstrap_with_quorum(&mut self, now: ClockTime) {
         let n_needed = match self.settings.bootstrap_rule {
             BootstrapRule::Majority => self.quorum(),
-            BootstrapRule::All => self.settings.vms.len(),
+            BootstrapRule::All => self.vms().len(),
             BootstrapRule::Never => usize::MAX,
         };
         if self.bootstrap_votes.len() < n_needed {
@@ -177,13 +177,11 @@
     ///
     /// Voters of VMs that left the group are removed first.
     pub(crate) fn admit_replicas(&mut self, now: ClockTime) {
-        let has_pending = self.log.voters_entry_after(self.commit).is_some();
-        if has_pending || !self.is_settled_leader() {
+        if !self.may_change_group() {
             return;
         }
         let voters = self.voters().clone();
-        let is_departed =
-            |it: &&ReplicaId| !self.settings.vms.contains(&it.vm) && **it != self.hard.id;
+        let is_departed = |it: &&ReplicaId| !self.vms().contains(&it.vm) && **it != self.hard.id;
         if let Some(departed) = voters.iter().find(is_departed).cloned() {
             let mut changed = voters;
             changed.shift_remove(&departed);
@@ -193,6 +191,7 @@
         }
         let ready = self.progress.iter().find(|(id, it)| {
             !voters.contains(*id)
+                && self.vms().contains(&id.vm)
                 && self.commit <= it.matched
                 && now.since_ms(it.last_contact_at) <= self.settings.election_ms
         });
--- a/lib/src/replica_election.rs
+++ b/lib/src/replica_election.rs
@@ -36,7 +36,7 @@
         let should_not_lead = self.is_witness_vm(&self.hard.id.vm) || self.transferring_leadership;
         let silent_ms = now.since_ms(self.last_contact_at);
         let had_time = self.settings.election_ms * WITNESS_DELAY_ELECTIONS <= silent_ms;
-        self.voters().contains(&self.hard.id) && (!should_not_lead || had_time)
+        self.counts(&self.hard.id) && (!should_not_lead || had_time)
     }
 
     /// Transfers leadership to a voter that has all entries, if this replica should not lead.
@@ -45,9 +45,8 @@
             return;
         }
         let last_index = self.log.last_index();
-        let voters = self.voters();
         let ready = self.progress.iter().find(|(id, it)| {
-            voters.contains(*id) && it.matched == last_index && !self.is_witness_vm(&id.vm)
+            self.counts(id) && it.matched == last_index && !self.is_witness_vm(&id.vm)
         });
         if let Some(id) = ready.map(|(id, _)| id.clone()) {
             self.send(&id, ReplicaBody::TimeoutNow);
@@ -61,7 +60,7 @@
     /// Starts an election at once, on the leader's request.
     pub(crate) fn handle_timeout_now(&mut self, from: &ReplicaId, term: u64, now: ClockTime) {
         let is_from_leader = self.leader.as_ref() == Some(from) && term == self.hard.term;
-        if is_from_leader && self.voters().contains(&self.hard.id) {
+        if is_from_leader && self.counts(&self.hard.id) {
             self.reset_election(now);
             self.request_votes(VotePhase::Real, now);
         }
@@ -89,8 +88,7 @@
     }
 
     fn count_votes(&mut self, phase: VotePhase, now: ClockTime) {
-        let voters = self.voters();
-        let n_votes = self.votes.iter().filter(|it| voters.contains(*it)).count();
+        let n_votes = self.votes.iter().filter(|it| self.counts(it)).count();
         if n_votes < self.quorum() {
             return;
         }
@@ -176,11 +174,10 @@
 
     /// Steps down when no quorum has responded within an election timeout.
     pub(crate) fn step_down_without_quorum(&mut self, now: ClockTime) {
-        let voters = self.voters();
         let n_responding = self.progress.iter().filter(|(id, it)| {
-            voters.contains(*id) && now.since_ms(it.last_contact_at) <= self.settings.election_ms
+            self.counts(id) && now.since_ms(it.last_contact_at) <= self.settings.election_ms
         });
-        let n_responding = n_responding.count() + usize::from(voters.contains(&self.hard.id));
+        let n_responding = n_responding.count() + usize::from(self.counts(&self.hard.id));
         if self.quorum() <= n_responding {
             return;
         }
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -4,8 +4,9 @@
 //! steps down when no quorum responds, snapshots and membership changes by
 //! a single server. Three things differ.
 //!
-//! - The quorum is a majority of the group's configured VMs, whatever the number of
-//!   voters at the moment. A VM holds one voter at most.
+//! - The quorum is a majority of the group's VMs, whatever the number of voters at the
+//!   moment. A VM holds one voter at most. Where the log changes the group, the newest
+//!   group in it is in force from when it is appended; see [`GroupReader`].
 //! - A replica that lost its state is another replica: it has a new id and does not
 //!   vote until a membership change has admitted it.
 //! - A group without a live majority is bootstrapped again as another generation. See
@@ -66,6 +67,15 @@
     pub seed: u64,
 }
 
+/// Finds the group's VMs in commands and states, where the log changes the group.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupReader {
+    /// The VMs that a command sets, if it does.
+    pub in_command: fn(&[u8]) -> Option<Vec<VmName>>,
+    /// The VMs as of an encoded state, if they were set.
+    pub in_state: fn(&[u8]) -> Option<Vec<VmName>>,
+}
+
 /// Role of a replica.
 #[derive(Data!, Copy)]
 pub enum ReplicaRole {
@@ -118,6 +128,11 @@
 #[derive(Debug)]
 pub struct ReplicaNode {
     pub(crate) settings: ReplicaSettings,
+    group_reader: Option<GroupReader>,
+    /// VMs as of the snapshot, if a log that changes the group has set them.
+    snapshot_vms: Option<Vec<VmName>>,
+    /// VMs as of the newest entry, if the log has set them.
+    log_vms: Option<Vec<VmName>>,
     pub(crate) hard: HardState,
     pub(crate) log: ReplicaLog,
     pub(crate) commit: u64,
@@ -179,6 +194,9 @@
         }
         let mut node = ReplicaNode {
             settings,
+            group_reader: None,
+            snapshot_vms: None,
+            log_vms: None,
             hard,
             log,
             commit,
@@ -205,6 +223,13 @@
         node
     }
 
+    /// Lets the log change the group.
+    pub fn with_group_reader(mut self, reader: GroupReader) -> ReplicaNode {
+        self.group_reader = Some(reader);
+        self.read_snapshot_vms();
+        self
+    }
+
     /// The replica's id.
     pub fn id(&self) -> &ReplicaId {
         &self.hard.id
@@ -255,16 +280,18 @@
         self.log.voters_at(self.log.last_index())
     }
 
-    /// VMs of the group.
+    /// VMs of the group: the newest that the log or its snapshot holds, else those given.
     pub fn vms(&self) -> &[VmName] {
-        &self.settings.vms
+        self.log_vms.as_deref().unwrap_or(&self.settings.vms)
     }
 
-    /// Changes the VMs of the group, by one more or one less, once that is committed.
+    /// Stores the VMs of a group whose log this replica does not have yet.
     ///
-    /// Majorities of the former and the new VMs overlap. A replica may lag by one change,
-    /// as the next is proposed only after the last was committed.
-    pub fn set_vms(&mut self, vms: &[VmName]) {
+    /// A log that names a group is never overruled.
+    pub fn learn_vms(&mut self, vms: &[VmName]) {
+        if self.log_vms.is_some() {
+            return;
+        }
         self.settings.vms = vms.to_vec();
         if self.hard.vms != vms {
             self.hard.vms = vms.to_vec();
@@ -272,6 +299,62 @@
         }
     }
 
+    /// Keeps this replica from a bootstrap, as its group is known to exist.
+    pub fn forbid_bootstrap(&mut self) {
+        self.settings.bootstrap_rule = BootstrapRule::Never;
+    }
+
+    /// Whether this replica may append a change of the group or of its voters.
+    ///
+    /// Majorities before and after a change overlap only if the one before it is committed,
+    /// and an entry of the leader's own term as well (Ongaro, 2015).
+    pub fn may_change_group(&self) -> bool {
+        let is_change = |it: &LogEntry| match &it.payload {
+            EntryPayload::Voters(_) => true,
+            EntryPayload::Command(command) => self.vms_in_command(command).is_some(),
+            EntryPayload::Noop => false,
+        };
+        let first = self.commit.max(self.log.snapshot().index) + 1;
+        let pending = self.log.entries_from(first, usize::MAX, usize::MAX);
+        self.is_settled_leader() && !pending.iter().any(is_change)
+    }
+
+    fn vms_in_command(&self, command: &[u8]) -> Option<Vec<VmName>> {
+        (self.group_reader?.in_command)(command)
+    }
+
+    /// Finds the group in force after the snapshot was replaced.
+    fn read_snapshot_vms(&mut self) {
+        let state = &self.log.snapshot().state;
+        self.snapshot_vms = self.group_reader.and_then(|it| (it.in_state)(state));
+        self.update_vms();
+    }
+
+    /// Finds the group in force after entries were appended or dropped.
+    pub(crate) fn update_vms(&mut self) {
+        if self.group_reader.is_some() {
+            let newest = self.vms_at(self.log.last_index());
+            self.log_vms = newest;
+        }
+    }
+
+    /// The newest group that the log sets up to `index`.
+    fn vms_at(&self, index: u64) -> Option<Vec<VmName>> {
+        let first = self.log.snapshot().index + 1;
+        let entries = self.log.entries_from(first, usize::MAX, usize::MAX);
+        let newest =
+            entries.iter().rev().filter(|it| it.index <= index).find_map(|it| match &it.payload {
+                EntryPayload::Command(command) => self.vms_in_command(command),
+                EntryPayload::Noop | EntryPayload::Voters(_) => None,
+            });
+        newest.or_else(|| self.snapshot_vms.clone())
+    }
+
+    /// Whether the vote of a replica counts: it is a voter, on a VM of the group.
+    pub(crate) fn counts(&self, id: &ReplicaId) -> bool {
+        self.voters().contains(id) && self.vms().contains(&id.vm)
+    }
+
     /// Forgets the log of a group that this VM no longer belongs to.
     pub fn leave_group(&mut self, now: ClockTime) {
         if self.role != ReplicaRole::Fresh {
@@ -281,10 +364,10 @@
 
     /// Replicas needed for a commit or an election; out of reach while the group is unknown.
     pub fn quorum(&self) -> usize {
-        if self.settings.vms.is_empty() {
+        if self.vms().is_empty() {
             return usize::MAX;
         }
-        self.settings.vms.len() / 2 + 1
+        self.vms().len() / 2 + 1
     }
 
     /// VMs whose replica answered this leader within an election timeout.
@@ -323,6 +406,7 @@
         if self.applied <= self.log.snapshot().index {
             return;
         }
+        self.snapshot_vms = self.vms_at(self.applied);
         self.log.compact(self.applied, state);
         let snapshot = self.log.snapshot().clone();
         self.effects.push(ReplicaEffect::Store(StoreEffect::SaveSnapshot(snapshot)));
@@ -359,14 +443,20 @@
 
     /// Handles a message from another replica.
     pub fn handle_message(&mut self, message: ReplicaMessage, now: ClockTime) {
-        if !self.settings.vms.contains(&message.from.vm) || message.from.vm == self.hard.id.vm {
+        if message.from.vm == self.hard.id.vm {
             return;
         }
         if message.to.as_ref().is_some_and(|it| *it != self.hard.id) {
             self.answer_older_generation(&message);
             return;
         }
+        let is_from_group = self.vms().contains(&message.from.vm);
         match message.body {
+            ReplicaBody::JoinRequest
+            | ReplicaBody::LeaderLost
+            | ReplicaBody::BootstrapVoteRequest(_)
+            | ReplicaBody::BootstrapVoteResponse(..)
+                if !is_from_group => {}
             ReplicaBody::JoinRequest => self.handle_join_request(message.from, now),
             ReplicaBody::LeaderLost => self.handle_leader_lost(&message, now),
             ReplicaBody::BootstrapVoteRequest(generation) => {
@@ -375,6 +465,7 @@
             ReplicaBody::BootstrapVoteResponse(generation, clock) => {
                 self.handle_bootstrap_vote_response(message.from, generation, clock, now);
             }
+            // The sender may be of a newer group than this log knows: term and log decide.
             _ => self.handle_group_message(message, now),
         }
     }
@@ -411,7 +502,13 @@
     pub(crate) fn start_new_incarnation(&mut self, now: ClockTime) {
         let incarnation = now.0.max(self.hard.id.incarnation + 1);
         let id = ReplicaId { vm: self.hard.id.vm.clone(), incarnation };
-        let vms = std::mem::take(&mut self.hard.vms);
+        let mut vms = std::mem::take(&mut self.hard.vms);
+        if let Some(known) = self.log_vms.take() {
+            self.settings.vms.clone_from(&known);
+            vms = known;
+            self.settings.bootstrap_rule = BootstrapRule::Never;
+        }
+        self.snapshot_vms = None;
         self.hard = HardState {
             id: id.clone(),
             generation: None,
@@ -470,7 +567,7 @@
 
     /// Sends to whatever replica runs on each other VM.
     pub(crate) fn send_to_vms(&mut self, body: &ReplicaBody) {
-        for vm in self.settings.vms.clone() {
+        for vm in self.vms().to_vec() {
             if vm != self.hard.id.vm {
                 let message = self.message(None, body.clone());
                 self.effects.push(ReplicaEffect::Send(vm, message));
@@ -487,6 +584,7 @@
         let index = self.log.last_index() + 1;
         let entry = LogEntry { index, term: self.hard.term, payload };
         self.log.push(entry.clone());
+        self.update_vms();
         self.effects.push(ReplicaEffect::Store(StoreEffect::Append(vec![entry])));
         index
     }
@@ -508,6 +606,7 @@
         self.commit = snapshot.index;
         self.applied = snapshot.index;
         self.log.install(snapshot.clone());
+        self.read_snapshot_vms();
         self.effects.push(ReplicaEffect::Store(StoreEffect::SaveSnapshot(snapshot.clone())));
         self.effects.push(ReplicaEffect::Restore(snapshot));
     }
--- a/lib/src/replica_replication.rs
+++ b/lib/src/replica_replication.rs
@@ -173,6 +173,7 @@
         for entry in &new_entries {
             self.log.push(entry.clone());
         }
+        self.update_vms();
         self.effects.push(ReplicaEffect::Store(StoreEffect::Append(new_entries)));
     }
 
@@ -242,14 +243,13 @@
 
     /// Commits what a quorum of voters holds, once it includes an entry of this term.
     fn advance_commit(&mut self) {
-        let voters = self.voters();
         let mut matched: Vec<u64> = self
             .progress
             .iter()
-            .filter(|(id, _)| voters.contains(*id))
+            .filter(|(id, _)| self.counts(id))
             .map(|(_, it)| it.matched)
             .collect();
-        if voters.contains(&self.hard.id) {
+        if self.counts(&self.hard.id) {
             matched.push(self.log.last_index());
         }
         let quorum = self.quorum();
--- a/lib/tests/test_control_group.rs
+++ b/lib/tests/test_control_group.rs
@@ -1,8 +1,8 @@
 //! Membership of the control group across restarts.
 
 use yuccamux::{
-    cell::cell_message::CellHeartbeat,
-    config_state::ControlGroup,
+    cell::{cell_message::CellHeartbeat, route_plan::RoutePlan},
+    config_state::{ConfigAnswer, ConfigCommand, ConfigState, ControlGroup, StoredPlan},
     control_node::{ControlEffect, ControlNode, ControlSettings, GroupRule},
     job_ledger::OwnerId,
     peer_message::PeerDatagram,
@@ -106,3 +106,42 @@
     let (first, second) = (VmName::from("10.0.0.7"), VmName::from("10.0.0.8"));
     assert_eq!(told, Some((vec![second.clone()], vec![first, second])));
 }
+
+/// The replica finds changes of the group in the log by the number of their command, which must
+/// not change, or a restart would fall back to an older group.
+#[test]
+fn change_of_the_group_is_found_in_its_encoded_form() {
+    let vms = vec![VmName::from("10.0.0.1"), VmName::from("10.0.0.4")];
+    let encode = |it: &ConfigCommand| postcard::to_stdvec(it).unwrap();
+    let command = encode(&ConfigCommand::SetGroup(vms.clone()));
+    assert_eq!(ConfigState::group_in_command(&command), Some(vms.clone()));
+    let mut state = ConfigState::default();
+    assert_eq!(ConfigState::group_in_state(&state.encode()), None);
+    state.apply(ConfigCommand::SetGroup(vms.clone()));
+    assert_eq!(ConfigState::group_in_state(&state.encode()), Some(vms));
+    let centre = DataCentre::from("munich");
+    let others = [
+        ConfigCommand::ReadPlan,
+        ConfigCommand::RecordBootstrap(centre, GenerationId(4)),
+        ConfigCommand::PutPlan(StoredPlan { plan: RoutePlan::default(), source: String::new() }),
+    ];
+    for other in others {
+        assert_eq!(ConfigState::group_in_command(&encode(&other)), None, "{other:?}");
+    }
+}
+
+/// A group that names no VM has no majority; in force, it would end the group for good.
+#[test]
+fn group_without_a_vm_is_refused() {
+    let mut state = ConfigState::default();
+    let vms = vec![VmName::from("10.0.0.1")];
+    state.apply(ConfigCommand::SetGroup(vms.clone()));
+    let empty = ConfigCommand::SetGroup(Vec::new());
+    assert_eq!(ConfigState::group_in_command(&postcard::to_stdvec(&empty).unwrap()), None);
+    let answer = state.apply(empty);
+    assert!(
+        matches!(&answer, ConfigAnswer::Refused(it) if it.kind == ErrorKind::InvalidChange),
+        "{answer:?}"
+    );
+    assert_eq!(state.group().vms, vms);
+}
--- a/lib/tests/test_replica_rules.rs
+++ b/lib/tests/test_replica_rules.rs
@@ -6,7 +6,9 @@
     replica_effect::{HardState, ReplicaEffect},
     replica_log::{EntryPayload, LogEntry, LogSnapshot, ReplicaLog},
     replica_message::{AppendAnswer, ReplicaBody, ReplicaMessage, VoteAnswer, VotePhase},
-    replica_node::{BootstrapRule, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule},
+    replica_node::{
+        BootstrapRule, GroupReader, ReplicaNode, ReplicaRole, ReplicaSettings, SnapshotRule,
+    },
 };
 
 const START: ClockTime = ClockTime(1_000_000);
@@ -188,3 +190,42 @@
     node.tick(now.plus_ms(201));
     assert_eq!(node.role(), ReplicaRole::Follower);
 }
+
+/// A vote was dropped when its candidate was on a VM that joined after the snapshot, so that two of
+/// three never elected a leader.
+#[test]
+fn vote_for_a_vm_outside_the_group_is_judged_by_term_and_log() {
+    let mut node = member(3);
+    for (candidate, term, last_index, expected) in
+        [("d", 7, 3, VoteAnswer::Refused), ("e", 8, 4, VoteAnswer::Granted)]
+    {
+        let ask = ReplicaBody::VoteRequest(VotePhase::Real, last_index, 1);
+        node.handle_message(message(&id(candidate), term, ask), START);
+        let answer = ReplicaBody::VoteResponse(VotePhase::Real, expected);
+        assert_eq!(sent(&mut node), [(VmName::from(candidate), answer)]);
+    }
+}
+
+/// A group counted only from when it was applied, and from then on whatever the log held.
+#[test]
+fn group_counts_from_when_it_is_appended_until_it_is_truncated() {
+    let reader = GroupReader {
+        in_command: |bytes| (bytes == [9]).then(|| ["a", "b", "c", "d"].map(VmName::from).to_vec()),
+        in_state: |_| None,
+    };
+    let mut node = member(0).with_group_reader(reader);
+    let now = elect(&mut node);
+    let ack = |index| ReplicaBody::AppendAck(AppendAnswer::Matched(index));
+    node.handle_message(message(&id("b"), 2, ack(2)), now);
+    assert!(node.may_change_group());
+    let index = node.propose(vec![9]).unwrap();
+    assert_eq!((node.vms().len(), node.quorum()), (4, 3));
+    assert!(!node.may_change_group(), "the change is not committed");
+    node.handle_message(message(&id("b"), 2, ack(index)), now);
+    assert_eq!(node.commit_index(), 2, "two of four are no majority");
+    let entry = LogEntry { index, term: 3, payload: EntryPayload::Noop };
+    let append =
+        ReplicaBody::Append { prev_index: 2, prev_term: 2, commit: 2, entries: vec![entry] };
+    node.handle_message(message(&id("c"), 3, append), now);
+    assert_eq!((node.vms().len(), node.quorum()), (3, 2), "the change was replaced");
+}
