log_store: a damaged first frame or another version ends the start and empties nothing

A control VM whose log file was damaged or cut short in its only frame, or written by a newer version, started as if its disk were new: the frame was taken for a torn first write and dropped without a word, and with it the votes and all that was acknowledged.

Each file now comes into being by a rename with a synced frame in it, also the first, so a first frame that is not whole is damage. Damage, a cut and another version end the start with the file and the byte and leave the file as it is. A torn last frame after it is still dropped, as it was never acknowledged, now with a warning.

Before: damaged_or_cut_first_frame_is_refused_and_kept and frame_of_a_newer_version_is_refused_and_kept failed with "the folder must be refused". The test of a state that does not decode needs a check that did not exist, and was not run before.

--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 use yuccamux::{
     cell::endpoint_directory::{DirectoryChange, EndpointRecord},
-    config_state::{ChangeRecord, ConfigChange, ConfigImage, StoredPlan},
+    config_state::{ChangeRecord, ConfigChange, ConfigImage, ConfigState, StoredPlan},
     control_node::{ControlEffect, ControlNode, ControlSettings},
     entry_node::CallNumber,
     peer_message::PeerDatagram,
@@ -182,6 +182,7 @@
 ) -> anyhow::Result<ServiceHandle> {
     let own = settings.owner.vm.clone();
     let store = LogStore::open(&data_folder, &own)?;
+    store.check_state(ConfigState::decode)?;
     let stored = store.stored();
     if let Some((_, log)) = &stored {
         info!("found {} entries after snapshot {}", log.n_entries(), log.snapshot().index);
--- a/adapters/src/log_store.rs
+++ b/adapters/src/log_store.rs
@@ -2,8 +2,9 @@
 //!
 //! Each batch of changes is one frame, written and synced before anything that
 //! depends on it leaves the process. So only the last frame can be torn by a crash: it
-//! was never acknowledged and is truncated. Damage before the last frame is an error. A
-//! snapshot starts a new file, which atomically replaces the old one by a rename.
+//! was never acknowledged and is truncated, with a line in the log. Damage before the last
+//! frame is an error. Each file begins with a frame that was synced before a rename put the
+//! file in the place of the former one, so damage of the first frame is an error as well.
 //!
 //! A write that fails, as on a full disk, is retried until it succeeds; meanwhile the
 //! replica is blocked, which to the other replicas looks like a disk that hangs.
@@ -34,6 +35,8 @@
 const FAILURES_PER_WARNING: u64 = 50;
 
 const FRAME_MAGIC: [u8; 4] = *b"yxf1";
+/// What frames of all versions begin with.
+const FRAME_FAMILY: [u8; 3] = *b"yxf";
 const FRAME_HEADER_BYTES: usize = 12;
 const LOG_NAME: &str = "replica.log";
 const NEW_LOG_NAME: &str = "replica.log.new";
@@ -52,11 +55,14 @@
 /// The open data folder of a control replica.
 pub struct LogStore {
     folder: PathBuf,
-    file: File,
+    /// None until something is stored.
+    file: Option<File>,
     hard: Option<HardState>,
     log: ReplicaLog,
     /// Bytes of whole frames in the file.
     n_bytes: u64,
+    /// Byte of the frame with the snapshot that the folder was opened with.
+    snapshot_at: usize,
     n_syncs: u64,
     _lock: File,
 }
@@ -66,8 +72,9 @@
     ///
     /// # Errors
     ///
-    /// When another process has the folder open, it belongs to another VM, or the log
-    /// is damaged before its last frame.
+    /// When another process has the folder open, it belongs to another VM, or the log is
+    /// damaged before its last frame, cut short in its first one, or of another version. The
+    /// error names the file and the byte.
     pub fn open(folder: &Path, vm: &VmName) -> anyhow::Result<LogStore> {
         fs::create_dir_all(folder)
             .with_context(|| format!("could not create the data folder {}", folder.display()))?;
@@ -76,9 +83,27 @@
         let path = folder.join(LOG_NAME);
         let bytes = read_or_empty(&path)?;
         let (frames, n_whole) =
-            split_frames(&bytes).with_context(|| format!("{} is damaged", path.display()))?;
-        let file = OpenOptions::new().create(true).append(true).open(&path)?;
-        if n_whole < bytes.len() {
+            split_frames(&bytes).with_context(|| format!("{} is refused", path.display()))?;
+        let file = match OpenOptions::new().append(true).open(&path) {
+            Ok(it) => Some(it),
+            Err(error) if error.kind() == std::io::ErrorKind::NotFound => None,
+            Err(error) => {
+                return Err(error).with_context(|| format!("could not open {}", path.display()));
+            }
+        };
+        // A file comes into being by a rename, with a whole frame in it.
+        ensure!(
+            file.is_none() || !bytes.is_empty(),
+            "{} is cut short, at byte 0; the VM must come back with an empty data folder",
+            path.display()
+        );
+        if let Some(file) = file.as_ref().filter(|_| n_whole < bytes.len()) {
+            warn!(
+                "{}: the frame at byte {n_whole} is torn, {} bytes that were never synced are \
+                 dropped",
+                path.display(),
+                bytes.len() - n_whole
+            );
             file.set_len(n_whole as u64)?;
             file.sync_all()?;
         }
@@ -88,13 +113,20 @@
             hard: None,
             log: ReplicaLog::default(),
             n_bytes: n_whole as u64,
+            snapshot_at: 0,
             n_syncs: 0,
             _lock: lock,
         };
-        for frame in frames {
-            let changes: Vec<StoredChange> = postcard::from_bytes(frame)
-                .with_context(|| format!("{} is of another version", path.display()))?;
-            changes.into_iter().for_each(|it| store.replay(it));
+        for StoredFrame { at, body } in frames {
+            let changes: Vec<StoredChange> = postcard::from_bytes(body).with_context(|| {
+                format!("{}: the frame at byte {at} is of another version", path.display())
+            })?;
+            for change in changes {
+                if matches!(change, StoredChange::Snapshot(_)) {
+                    store.snapshot_at = at;
+                }
+                store.replay(change);
+            }
         }
         sync_folder(folder)?;
         Ok(store)
@@ -105,6 +137,25 @@
         Some((self.hard.clone()?, self.log.clone()))
     }
 
+    /// Checks the snapshot's state, if it has one, with the function that decodes it.
+    ///
+    /// # Errors
+    ///
+    /// When `decode` fails; the error names the file and the byte.
+    pub fn check_state<S, E>(&self, decode: impl Fn(&[u8]) -> Result<S, E>) -> anyhow::Result<()>
+    where
+        E: std::error::Error + Send + Sync + 'static,
+    {
+        let state = &self.log.snapshot().state;
+        if !state.is_empty() {
+            decode(state).with_context(|| {
+                let (path, at) = (self.folder.join(LOG_NAME), self.snapshot_at);
+                format!("{}: the snapshot at byte {at} is of another version", path.display())
+            })?;
+        }
+        Ok(())
+    }
+
     /// Number of disk syncs.
     pub fn n_syncs(&self) -> u64 {
         self.n_syncs
@@ -142,12 +193,17 @@
         if changes.is_empty() {
             return Ok(());
         }
+        if self.file.is_none() {
+            changes.into_iter().for_each(|it| self.replay(it));
+            return self.rewrite();
+        }
         let frame = frame(&changes)?;
         self.retry_write(|store| {
+            let Some(file) = store.file.as_mut() else { return Ok(()) };
             // Removes what a failed write has left behind.
-            store.file.set_len(store.n_bytes)?;
-            store.file.write_all(&frame)?;
-            store.file.sync_data()
+            file.set_len(store.n_bytes)?;
+            file.write_all(&frame)?;
+            file.sync_data()
         });
         self.n_bytes += frame.len() as u64;
         self.n_syncs += 1;
@@ -171,7 +227,7 @@
             file.sync_all()?;
             fs::rename(&new_path, &path)?;
             File::open(&store.folder)?.sync_all()?;
-            store.file = OpenOptions::new().append(true).open(&path)?;
+            store.file = Some(OpenOptions::new().append(true).open(&path)?);
             Ok(())
         });
         self.n_bytes = frame.len() as u64;
@@ -259,12 +315,32 @@
     Ok(frame)
 }
 
-/// The bodies of all whole frames, and the length up to the end of the last one.
-fn split_frames(bytes: &[u8]) -> anyhow::Result<(Vec<&[u8]>, usize)> {
+/// A whole frame of the file.
+struct StoredFrame<'a> {
+    /// Its first byte in the file.
+    at: usize,
+    body: &'a [u8],
+}
+
+/// All whole frames, and the length up to the end of the last one.
+fn split_frames(bytes: &[u8]) -> anyhow::Result<(Vec<StoredFrame<'_>>, usize)> {
     let mut frames = Vec::new();
     let mut at = 0;
     while at < bytes.len() {
         let Some(body) = whole_frame(&bytes[at..]) else {
+            let rest = &bytes[at..];
+            let is_other_version = rest.starts_with(&FRAME_FAMILY)
+                && rest.get(..FRAME_MAGIC.len()).is_some_and(|it| it != FRAME_MAGIC);
+            ensure!(
+                !is_other_version,
+                "the frame at byte {at} is of another version; start the version that wrote it"
+            );
+            ensure!(
+                at != 0,
+                "the frame at byte 0 is damaged or cut short, at {} bytes; \
+                 the VM must come back with an empty data folder",
+                bytes.len()
+            );
             // Only the last frame can be torn, so no whole frame may follow.
             let follows = (at + 1..bytes.len()).any(|it| whole_frame(&bytes[it..]).is_some());
             ensure!(
@@ -274,7 +350,7 @@
             );
             break;
         };
-        frames.push(body);
+        frames.push(StoredFrame { at, body });
         at += FRAME_HEADER_BYTES + body.len();
     }
     Ok((frames, at))
--- a/adapters/tests/test_log_store.rs
+++ b/adapters/tests/test_log_store.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexSet;
 use tempfile::TempDir;
 use yuccamux::{
+    config_state::ConfigState,
     prelude::*,
     replica_effect::{HardState, StoreEffect},
     replica_log::{EntryPayload, LogEntry, LogSnapshot},
@@ -150,3 +151,56 @@
     drop(store);
     assert_eq!(last_index(&folder), 2);
 }
+
+fn refusal(folder: &TempDir) -> String {
+    let error = format!("{:#}", open(folder).err().expect("the folder must be refused"));
+    assert!(error.contains("replica.log"), "the error names no file: {error}");
+    error
+}
+
+/// A file whose only frame was damaged or cut short was taken for a torn first write and emptied,
+/// so that the VM forgot its votes and what it had acknowledged.
+#[test]
+fn damaged_or_cut_first_frame_is_refused_and_kept() {
+    let folder = filled(0);
+    let path = folder.path().join("replica.log");
+    let whole = fs::read(&path).unwrap();
+    let mut garbled = whole.clone();
+    *garbled.last_mut().unwrap() ^= 1;
+    for bytes in [garbled, whole[..whole.len() / 2].to_vec(), whole[..2].to_vec(), Vec::new()] {
+        fs::write(&path, &bytes).unwrap();
+        let error = refusal(&folder);
+        assert!(error.contains("byte 0"), "{error}");
+        assert_eq!(fs::read(&path).unwrap(), bytes, "the file was changed");
+    }
+    fs::write(&path, &whole).unwrap();
+    assert_eq!(open(&folder).unwrap().stored().unwrap().0, hard(1));
+}
+
+/// Frames of a newer version were taken for a torn last write and dropped.
+#[test]
+fn frame_of_a_newer_version_is_refused_and_kept() {
+    let folder = filled(2);
+    let path = folder.path().join("replica.log");
+    let mut bytes = fs::read(&path).unwrap();
+    let at = bytes.len();
+    bytes.extend_from_slice(b"yxf2\0\0\0\0\0\0\0\0");
+    fs::write(&path, &bytes).unwrap();
+    let error = refusal(&folder);
+    assert!(error.contains(&format!("byte {at} is of another version")), "{error}");
+    assert_eq!(fs::read(&path).unwrap(), bytes, "the file was changed");
+}
+
+/// A snapshot whose state this version cannot read ended the process by a panic without a word
+/// on the file.
+#[test]
+fn state_that_does_not_decode_is_refused_with_file_and_byte() {
+    let folder = filled(2);
+    let state = vec![255; 3];
+    let snapshot = LogSnapshot { index: 2, term: 1, state, ..LogSnapshot::default() };
+    open(&folder).unwrap().commit(vec![StoreEffect::SaveSnapshot(snapshot)]).unwrap();
+    let error = open(&folder).unwrap().check_state(ConfigState::decode).unwrap_err();
+    let error = format!("{error:#}");
+    let expected = "replica.log: the snapshot at byte 0 is of another version";
+    assert!(error.contains(expected), "{error}");
+}
