links: messages that may not have arrived are reported

A link dropped messages in three ways of which only one could be seen from above, and that without saying what was lost: a connection that ended with frames not acknowledged, a VM that could not be connected to, and a full queue.

The link now keeps the send time of each frame until the other process acknowledges it, and reports the oldest one that may not have arrived. A malformed acknowledgement ends the connection; it was ignored.

--- a/adapters/src/cell_service.rs
+++ b/adapters/src/cell_service.rs
@@ -266,11 +266,13 @@
                 self.node.handle_digest(&from, digest, now);
             }
             PeerInput::ConnectionLost(vm) => self.node.handle_connection_loss(&vm, now),
-            PeerInput::Message(..) | PeerInput::Datagram(..) => {}
+            // Keep-alives of waiting jobs find out about lost offers and results.
+            PeerInput::MessagesLost(..) | PeerInput::Message(..) | PeerInput::Datagram(..) => {}
         }
     }
 
     fn run_effects(&mut self) {
+        let now = self.clock.now();
         for effect in self.node.drain_effects() {
             match effect {
                 NodeEffect::Order(order) => {
@@ -281,7 +283,9 @@
                         let _ = outcomes.send(CellInput::Outcome(order, outcome));
                     });
                 }
-                NodeEffect::Send(vm, message) => self.link.send(&vm, &PeerMessage::Cell(message)),
+                NodeEffect::Send(vm, message) => {
+                    self.link.send(&vm, &PeerMessage::Cell(message), now);
+                }
                 NodeEffect::Heartbeat(vms, heartbeat) => {
                     self.link.send_datagrams(&vms, &PeerDatagram::CellHeartbeat(heartbeat));
                 }
--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use indexmap::IndexMap;
-use log::{error, info};
+use log::{debug, error, info};
 use tokio::sync::{mpsc, oneshot};
 use yuccamux::{
     cell::endpoint_directory::{DirectoryChange, EndpointRecord},
@@ -78,6 +78,8 @@
     pub n_syncs: u64,
     /// Messages and bytes sent to other VMs.
     pub sent: (u64, u64),
+    /// Reports of messages to other VMs that may not have arrived.
+    pub n_losses: u64,
     /// Other VMs with the time since their last heartbeat, in ms, and their configuration
     /// version.
     pub peers: Vec<(String, u64, u64)>,
@@ -206,6 +208,7 @@
             calls: IndexMap::new(),
             reads: IndexMap::new(),
             next_call: 0,
+            n_losses: 0,
         };
         async move {
             if let Err(error) = host.run(ThreadInbox::new(inputs, peer_inputs, TICK)).await {
@@ -234,11 +237,14 @@
     calls: IndexMap<CallNumber, oneshot::Sender<Result<u64, RequestError>>>,
     reads: IndexMap<CallNumber, oneshot::Sender<PlanRead>>,
     next_call: u64,
+    n_losses: u64,
 }
 
 impl ServiceHost {
     async fn run(mut self, mut inbox: ThreadInbox<ServiceInput>) -> anyhow::Result<()> {
         while let Some(inputs) = inbox.receive().await {
+            // Messages are dated no later than any change that they report.
+            let turn_at = self.clock.now();
             for input in inputs {
                 match input {
                     ThreadInput::Own(input) => self.handle_service_input(input),
@@ -247,7 +253,7 @@
                 }
             }
             self.node.flush(self.clock.now());
-            self.run_effects().context("could not store the configuration")?;
+            self.run_effects(turn_at).context("could not store the configuration")?;
         }
         Ok(())
     }
@@ -306,13 +312,17 @@
             PeerInput::Datagram(from, datagram) => {
                 self.node.handle_datagram(&from, datagram, now);
             }
+            PeerInput::MessagesLost(vm, since) => {
+                self.n_losses += 1;
+                debug!("messages to {vm} lost, sent {} ms ago and later", now.since_ms(since));
+            }
             PeerInput::ConnectionLost(_) => {}
         }
     }
 
     /// Stores all changes with one sync, then runs the other effects: nothing that depends
     /// on a change leaves the process before the change is durable.
-    fn run_effects(&mut self) -> anyhow::Result<()> {
+    fn run_effects(&mut self, turn_at: ClockTime) -> anyhow::Result<()> {
         let mut stores = Vec::new();
         let mut others = Vec::new();
         for effect in self.node.drain_effects() {
@@ -327,7 +337,7 @@
         for effect in others {
             match effect {
                 ControlEffect::Store(_) => {}
-                ControlEffect::Send(vm, message) => self.link.send(&vm, &message),
+                ControlEffect::Send(vm, message) => self.link.send(&vm, &message, turn_at),
                 ControlEffect::SendDatagram(vm, datagram) => {
                     self.link.send_datagram(&vm, &datagram);
                 }
@@ -377,6 +387,7 @@
             plan_version: self.node.state().plan().map_or(0, |it| it.plan.version),
             n_syncs: self.store.n_syncs(),
             sent: self.link.sent(),
+            n_losses: self.n_losses,
             peers: peers.collect(),
         }
     }
--- a/adapters/src/entry_control.rs
+++ b/adapters/src/entry_control.rs
@@ -274,7 +274,8 @@
             PeerInput::Datagram(from, datagram) => {
                 self.node.handle_datagram(&from, datagram, now);
             }
-            PeerInput::ConnectionLost(_) => {}
+            // Requests are repeated until they are answered.
+            PeerInput::ConnectionLost(_) | PeerInput::MessagesLost(..) => {}
         }
     }
 
@@ -353,7 +354,7 @@
         if message.is_overhead() {
             self.n_overhead += 1;
         }
-        self.link.send(to, message);
+        self.link.send(to, message, self.clock.now());
     }
 
     fn status(&mut self, now: ClockTime) -> ControlStatus {
--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -1,12 +1,18 @@
 //! TCP and UDP between yuccamux processes.
 //!
 //! A process opens one connection to each other VM to send and accepts one from each to
-//! receive. Messages to a VM arrive in order as long as its connection lasts; a lost
-//! connection loses the messages in flight, which every protocol above tolerates. A
-//! connection is closed when its bytes or its frames are not acknowledged in time, as one
-//! can stop delivering without a reset. Frames are postcard with a length and a keyed hash.
+//! receive. Messages to a VM arrive in order as long as its connection lasts. A connection is
+//! closed when its bytes or its frames are not acknowledged in time, as one can stop
+//! delivering without a reset.
+//!
+//! Every message either reaches the other process or is reported as lost, by the time of the
+//! oldest one that may not have arrived: [`PeerInput::MessagesLost`]. Most protocols above repeat
+//! what is not answered; those that send a change only once must act on that report.
+//!
+//! Frames are postcard with a length and a keyed hash.
 
 use std::{
+    collections::VecDeque,
     io,
     net::{self, IpAddr, SocketAddr},
     sync::Arc,
@@ -28,7 +34,7 @@
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 use yuccamux::{
     peer_message::{PeerDatagram, PeerMessage},
-    prelude::VmName,
+    prelude::{ClockTime, VmName},
     vm_layout::VmLayout,
 };
 
@@ -58,8 +64,32 @@
     Message(VmName, PeerMessage),
     /// A datagram, by UDP.
     Datagram(VmName, PeerDatagram),
-    /// A connection with a VM was lost, and maybe messages in flight on it.
+    /// A connection with a VM was lost.
     ConnectionLost(VmName),
+    /// Messages sent to a VM at this time or later may not have arrived.
+    MessagesLost(VmName, ClockTime),
+}
+
+/// A frame to send.
+struct QueuedFrame {
+    bytes: Bytes,
+    sent_at: ClockTime,
+}
+
+/// Send times of a connection's frames that the other process has not acknowledged.
+#[derive(Default)]
+struct UnackedFrames {
+    n_acked: u64,
+    sent_at: VecDeque<ClockTime>,
+}
+
+impl UnackedFrames {
+    /// Removes the acknowledged ones; the other process has received `n_received` in all.
+    fn acknowledge(&mut self, n_received: u64) {
+        let n_new = n_received.saturating_sub(self.n_acked).min(self.sent_at.len() as u64);
+        self.sent_at.drain(..n_new as usize);
+        self.n_acked += n_new;
+    }
 }
 
 /// Maps VMs to network addresses.
@@ -156,7 +186,7 @@
 pub struct PeerLink {
     own: VmName,
     keys: Arc<LinkKeys>,
-    senders: IndexMap<VmName, mpsc::Sender<Bytes>>,
+    senders: IndexMap<VmName, mpsc::Sender<QueuedFrame>>,
     addresses: Arc<AddressBook>,
     inbox: mpsc::UnboundedSender<PeerInput>,
     socket: Arc<UdpSocket>,
@@ -205,22 +235,23 @@
         (self.n_sent, self.n_sent_bytes)
     }
 
-    /// Sends a message by TCP; drops it when the queue is full.
-    pub fn send(&mut self, to: &VmName, message: &PeerMessage) {
+    /// Sends a message by TCP. Should it be lost, the report names `sent_at`.
+    pub fn send(&mut self, to: &VmName, message: &PeerMessage, sent_at: ClockTime) {
         if self.is_cut_to(to) {
             return;
         }
         let frame = self.seal(message);
         self.n_sent += 1;
         self.n_sent_bytes += frame.len() as u64;
-        if let Some(sender) = self.sender(to) {
-            // A full queue means that the VM cannot be reached; the protocols above retry.
-            let _ = sender.try_send(Bytes::from(frame));
+        let frame = QueuedFrame { bytes: Bytes::from(frame), sent_at };
+        let is_dropped = self.sender(to).is_some_and(|it| it.try_send(frame).is_err());
+        if is_dropped {
+            report_loss(&self.inbox, to, sent_at);
         }
     }
 
     /// The queue of a VM's connection; the first use starts the connection.
-    fn sender(&mut self, to: &VmName) -> Option<&mpsc::Sender<Bytes>> {
+    fn sender(&mut self, to: &VmName) -> Option<&mpsc::Sender<QueuedFrame>> {
         if !self.senders.contains_key(to) {
             let address = self.addresses.address(to).filter(|_| *to != self.own)?;
             let (sender, waiting) = mpsc::channel(MAX_QUEUED_MESSAGES);
@@ -289,11 +320,16 @@
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
+fn report_loss(inbox: &mpsc::UnboundedSender<PeerInput>, vm: &VmName, since: ClockTime) {
+    // A closed channel means that the process is ending.
+    let _ = inbox.send(PeerInput::MessagesLost(vm.clone(), since));
+}
+
 /// Connects to `address` whenever frames are queued, and writes them in batches.
 async fn send_frames(
     vm: VmName,
     address: SocketAddr,
-    mut waiting: mpsc::Receiver<Bytes>,
+    mut waiting: mpsc::Receiver<QueuedFrame>,
     inbox: mpsc::UnboundedSender<PeerInput>,
 ) {
     while let Some(frame) = waiting.recv().await {
@@ -301,37 +337,44 @@
         let Ok(Ok(stream)) = connecting else {
             // Frames queued for an unreachable VM would be stale by the time it is back.
             while waiting.try_recv().is_ok() {}
+            report_loss(&inbox, &vm, frame.sent_at);
             time::sleep(RECONNECT_PAUSE).await;
             continue;
         };
         prepare_stream(&stream);
-        if let Err(error) = write_frames(stream, frame, &mut waiting).await {
+        let mut unacked = UnackedFrames::default();
+        if let Err(error) = write_frames(stream, frame, &mut waiting, &mut unacked).await {
             debug!("lost the connection to {vm}: {error}");
         }
         // A closed channel means that the process is ending.
         let _ = inbox.send(PeerInput::ConnectionLost(vm.clone()));
+        if let Some(oldest) = unacked.sent_at.front() {
+            report_loss(&inbox, &vm, *oldest);
+        }
     }
 }
 
-/// Writes frames until the connection is lost, or frames are not acknowledged in time.
+/// Writes frames until the connection is lost, or frames are not acknowledged in time. Leaves the
+/// frames that may not have arrived in `unacked`.
 ///
 /// The receiving process acknowledges frames, as TCP acknowledgements are not enough: a
 /// proxy on the path may accept bytes and never deliver them.
 async fn write_frames(
     stream: TcpStream,
-    first: Bytes,
-    waiting: &mut mpsc::Receiver<Bytes>,
-) -> std::io::Result<()> {
+    first: QueuedFrame,
+    waiting: &mut mpsc::Receiver<QueuedFrame>,
+    unacked: &mut UnackedFrames,
+) -> io::Result<()> {
     let (reader, writer) = stream.into_split();
     let mut acks = FramedRead::new(reader, frame_codec());
     let mut sink = FramedWrite::new(writer, frame_codec());
-    let mut n_sent: u64 = 1;
-    sink.feed(first).await?;
+    unacked.sent_at.push_back(first.sent_at);
+    sink.feed(first.bytes).await?;
     let mut ack_deadline = None;
     loop {
         while let Ok(frame) = waiting.try_recv() {
-            n_sent += 1;
-            sink.feed(frame).await?;
+            unacked.sent_at.push_back(frame.sent_at);
+            sink.feed(frame.bytes).await?;
         }
         SinkExt::<Bytes>::flush(&mut sink).await?;
         ack_deadline.get_or_insert_with(|| Instant::now() + ACK_TIMEOUT);
@@ -339,13 +382,14 @@
             tokio::select! {
                 frame = waiting.recv() => {
                     let Some(frame) = frame else { return Ok(()) };
-                    n_sent += 1;
-                    sink.feed(frame).await?;
+                    unacked.sent_at.push_back(frame.sent_at);
+                    sink.feed(frame.bytes).await?;
                     break;
                 }
                 ack = acks.next() => {
                     let Some(ack) = ack else { return Err(io::ErrorKind::ConnectionReset.into()) };
-                    let is_all = ack?[..] == n_sent.to_be_bytes();
+                    unacked.acknowledge(decode_ack(&ack?)?);
+                    let is_all = unacked.sent_at.is_empty();
                     ack_deadline = (!is_all).then(|| Instant::now() + ACK_TIMEOUT);
                 }
                 () = sleep_until(ack_deadline) => return Err(io::ErrorKind::TimedOut.into()),
@@ -354,6 +398,12 @@
     }
 }
 
+/// Number of frames that the other process has received over a connection.
+fn decode_ack(ack: &[u8]) -> io::Result<u64> {
+    let bytes = ack.try_into().map_err(|_| io::ErrorKind::InvalidData)?;
+    Ok(u64::from_be_bytes(bytes))
+}
+
 /// Sleeps until a time; forever without one.
 async fn sleep_until(at: Option<Instant>) {
     match at {
--- a/adapters/tests/test_peer_link.rs
+++ b/adapters/tests/test_peer_link.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -60,24 +60,54 @@
 
 /// Accepts bytes on every connection, but forwards none from the first `n_silent`.
 async fn proxy(to: SocketAddr, n_silent: usize) -> SocketAddr {
+    proxy_until_silenced(to, n_silent, Arc::default()).await
+}
+
+/// The same; connections that are open also stop once `is_silenced` is set.
+async fn proxy_until_silenced(
+    to: SocketAddr,
+    n_silent: usize,
+    is_silenced: Arc<AtomicBool>,
+) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let n_opened = Arc::new(AtomicUsize::new(0));
     tokio::spawn(async move {
         while let Ok((mut near, _)) = listener.accept().await {
             let number = n_opened.fetch_add(1, Ordering::Relaxed);
+            let is_silenced = is_silenced.clone();
             tokio::spawn(async move {
-                if number < n_silent {
-                    let _ = io::copy(&mut near, &mut io::sink()).await;
-                } else if let Ok(mut far) = TcpStream::connect(to).await {
-                    let _ = io::copy_bidirectional(&mut near, &mut far).await;
+                if n_silent <= number && !is_silenced.load(Ordering::Relaxed) {
+                    let Ok(mut far) = TcpStream::connect(to).await else { return };
+                    tokio::select! {
+                        _ = io::copy_bidirectional(&mut near, &mut far) => return,
+                        () = wait_for(&is_silenced) => {}
+                    }
                 }
+                let _ = io::copy(&mut near, &mut io::sink()).await;
             });
         }
     });
     address
 }
 
+async fn wait_for(flag: &AtomicBool) {
+    while !flag.load(Ordering::Relaxed) {
+        time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// The next report of lost messages.
+async fn next_loss(end: &mut LinkEnd) -> Option<ClockTime> {
+    loop {
+        match next(end, CLOSE_LIMIT).await? {
+            PeerInput::MessagesLost(_, since) => return Some(since),
+            PeerInput::ConnectionLost(_) => {}
+            other => panic!("unexpected: {other:?}"),
+        }
+    }
+}
+
 async fn next(end: &mut LinkEnd, limit: Duration) -> Option<PeerInput> {
     time::timeout(limit, end.inbox.recv()).await.ok().flatten()
 }
@@ -89,11 +119,11 @@
     let through = proxy(far_address, 1).await;
     let mut near = start("near", near_sockets, &[("far", through)]);
     let mut far = start("far", far_sockets, &[("near", near_address)]);
-    near.link.send(&VmName::from("far"), &message());
+    near.link.send(&VmName::from("far"), &message(), ClockTime(1));
     let broken = next(&mut near, CLOSE_LIMIT).await;
     assert!(matches!(broken, Some(PeerInput::ConnectionLost(_))), "{broken:?}");
     // The next connection delivers.
-    near.link.send(&VmName::from("far"), &message());
+    near.link.send(&VmName::from("far"), &message(), ClockTime(2));
     let received = next(&mut far, CLOSE_LIMIT).await;
     assert!(matches!(received, Some(PeerInput::Message(..))), "{received:?}");
 }
@@ -106,10 +136,46 @@
     let mut far = start("far", far_sockets, &[("near", near_address)]);
     for pause_ms in [0, 10, 300, 10, 1_200] {
         time::sleep(Duration::from_millis(pause_ms)).await;
-        near.link.send(&VmName::from("far"), &message());
+        near.link.send(&VmName::from("far"), &message(), ClockTime(1));
         let received = next(&mut far, CLOSE_LIMIT).await;
         assert!(matches!(received, Some(PeerInput::Message(..))), "{received:?}");
     }
     let broken = next(&mut near, CLOSE_LIMIT).await;
     assert!(broken.is_none(), "{broken:?}");
 }
+
+/// Guards against changes that are sent once and lost without a report on a connection that has
+/// gone silent: what was acknowledged before is not reported.
+#[tokio::test]
+async fn loss_on_a_silent_connection_is_reported_from_the_first_unacknowledged_message() {
+    let (near_sockets, near_address) = bind();
+    let (far_sockets, far_address) = bind();
+    let is_silenced = Arc::new(AtomicBool::default());
+    let through = proxy_until_silenced(far_address, 0, is_silenced.clone()).await;
+    let mut near = start("near", near_sockets, &[("far", through)]);
+    let mut far = start("far", far_sockets, &[("near", near_address)]);
+    let to = VmName::from("far");
+    for sent_at in [1, 2] {
+        near.link.send(&to, &message(), ClockTime(sent_at));
+        assert!(matches!(next(&mut far, CLOSE_LIMIT).await, Some(PeerInput::Message(..))));
+    }
+    // Time for the acknowledgement.
+    time::sleep(Duration::from_millis(500)).await;
+    is_silenced.store(true, Ordering::Relaxed);
+    time::sleep(Duration::from_millis(50)).await;
+    for sent_at in [3, 4] {
+        near.link.send(&to, &message(), ClockTime(sent_at));
+    }
+    assert_eq!(next_loss(&mut near).await, Some(ClockTime(3)));
+}
+
+/// Guards against messages that are dropped without a report while a VM cannot be reached.
+#[tokio::test]
+async fn loss_is_reported_when_a_vm_cannot_be_reached() {
+    let (near_sockets, _) = bind();
+    let (far_sockets, far_address) = bind();
+    drop(far_sockets);
+    let mut near = start("near", near_sockets, &[("far", far_address)]);
+    near.link.send(&VmName::from("far"), &message(), ClockTime(7));
+    assert_eq!(next_loss(&mut near).await, Some(ClockTime(7)));
+}
