membership: endpoint updates that a link lost are repeated

Cause: a control VM broadcasts a change of an endpoint once. A connection that goes silent swallows it; the link notices after 900 ms and opens another one, but nothing sent the change again. The entry's heartbeats, by UDP, went on, so it did not get all endpoints either, and the endpoint's later reports were no change. Only the periodic repeat helped, after up to 8 s; a departure was never repeated. The same holds for connections that are reset or refused, for updates between control VMs, and for the message with all endpoints that a starting entry gets.

A control VM now remembers from which time on a VM may lack updates, as reported by the link, and repeats these with that VM's next heartbeat. The loss of a repeat counts for what the repeat contained. So a VM that is heard lacks a change for 900 ms, one heartbeat interval of 240 ms and a transfer, which is within the shortest drain_ms of 2 s. What was acknowledged is not repeated: a reset of idle connections costs nothing. Repeats are logged and counted.

--- a/adapters/src/control_http.rs
+++ b/adapters/src/control_http.rs
@@ -93,6 +93,7 @@
         ("yuccamux_control_messages_sent", status.sent.0),
         ("yuccamux_control_bytes_sent", status.sent.1),
         ("yuccamux_control_message_losses", status.n_losses),
+        ("yuccamux_control_endpoint_updates_repeated", status.n_repeated),
         ("yuccamux_control_voters", status.voters.len() as u64),
     ];
     let mut text = String::new();
--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use indexmap::IndexMap;
-use log::{debug, error, info};
+use log::{error, info};
 use tokio::sync::{mpsc, oneshot};
 use yuccamux::{
     cell::endpoint_directory::{DirectoryChange, EndpointRecord},
@@ -80,6 +80,8 @@
     pub sent: (u64, u64),
     /// Reports of messages to other VMs that may not have arrived.
     pub n_losses: u64,
+    /// Endpoint updates sent to VMs that may have lacked them.
+    pub n_repeated: u64,
     /// Other VMs with the time since their last heartbeat, in ms, and their configuration
     /// version.
     pub peers: Vec<(String, u64, u64)>,
@@ -209,6 +211,7 @@
             reads: IndexMap::new(),
             next_call: 0,
             n_losses: 0,
+            n_repeated: 0,
         };
         async move {
             if let Err(error) = host.run(ThreadInbox::new(inputs, peer_inputs, TICK)).await {
@@ -238,6 +241,7 @@
     reads: IndexMap<CallNumber, oneshot::Sender<PlanRead>>,
     next_call: u64,
     n_losses: u64,
+    n_repeated: u64,
 }
 
 impl ServiceHost {
@@ -314,7 +318,7 @@
             }
             PeerInput::MessagesLost(vm, since) => {
                 self.n_losses += 1;
-                debug!("messages to {vm} lost, sent {} ms ago and later", now.since_ms(since));
+                self.node.handle_message_loss(&vm, since);
             }
             PeerInput::ConnectionLost(_) => {}
         }
@@ -359,6 +363,17 @@
                         let _ = reply.send(result);
                     }
                 }
+                ControlEffect::EndpointsRepeated { vm, n_updates, since } => {
+                    self.n_repeated += n_updates;
+                    if since == ClockTime::default() {
+                        info!("sent all {n_updates} endpoints to {vm}");
+                    } else {
+                        let lost_ms = turn_at.since_ms(since);
+                        info!(
+                            "repeated {n_updates} endpoint updates to {vm}, lost {lost_ms} ms ago"
+                        );
+                    }
+                }
                 ControlEffect::RoleChanged(role) => info!("configuration log: role {role:?}"),
                 ControlEffect::Version(version) => {
                     info!("configuration version {version} accepted")
@@ -388,6 +403,7 @@
             n_syncs: self.store.n_syncs(),
             sent: self.link.sent(),
             n_losses: self.n_losses,
+            n_repeated: self.n_repeated,
             peers: peers.collect(),
         }
     }
--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -66,7 +66,7 @@
     Datagram(VmName, PeerDatagram),
     /// A connection with a VM was lost.
     ConnectionLost(VmName),
-    /// Messages sent to a VM at this time or later may not have arrived.
+    /// Messages sent to a VM at this time or later may not have arrived, and earlier ones have.
     MessagesLost(VmName, ClockTime),
 }
 
@@ -246,7 +246,8 @@
         let frame = QueuedFrame { bytes: Bytes::from(frame), sent_at };
         let is_dropped = self.sender(to).is_some_and(|it| it.try_send(frame).is_err());
         if is_dropped {
-            report_loss(&self.inbox, to, sent_at);
+            // Reports must not overtake those about older messages, which are still queued.
+            report_loss(&self.inbox, to, ClockTime::default());
         }
     }
 
--- a/lib/src/cell/endpoint_directory.rs
+++ b/lib/src/cell/endpoint_directory.rs
@@ -238,7 +238,13 @@
 
     /// All known endpoints with whether each is gone, for a peer that has none.
     pub fn snapshot(&self) -> Vec<(EndpointRecord, bool)> {
-        self.entries.values().map(|it| (it.record.clone(), it.gone)).collect()
+        self.updates_since(ClockTime::default())
+    }
+
+    /// Last state of the endpoints that were sent at `since` or later, with whether each is gone.
+    pub fn updates_since(&self, since: ClockTime) -> Vec<(EndpointRecord, bool)> {
+        let sent = self.entries.values().filter(|it| since <= it.sent_at);
+        sent.map(|it| (it.record.clone(), it.gone)).collect()
     }
 
     /// Restarts the expiry time of every endpoint, as no control VM is reachable that would send
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -91,6 +91,15 @@
     AnswerPlanRead(CallNumber, Result<Option<StoredPlan>, RequestError>),
     /// Send a heartbeat by UDP, after all other effects.
     SendCellHeartbeat(Vec<VmName>, CellHeartbeat),
+    /// Endpoint updates that a VM may lack were sent to it.
+    EndpointsRepeated {
+        /// The VM.
+        vm: VmName,
+        /// Number of endpoints.
+        n_updates: u64,
+        /// Time from which on the updates were first sent; zero if the VM may lack all.
+        since: ClockTime,
+    },
     /// The role has changed.
     RoleChanged(ReplicaRole),
     /// A configuration version is in force here.
@@ -297,8 +306,8 @@
                 self.send_endpoint_updates(now);
             }
             PeerMessage::Cell(CellMessage::EndpointsRequest) => {
-                let message = PeerMessage::Cell(self.membership.endpoint_snapshot());
-                self.effects.push(ControlEffect::Send(from.clone(), message));
+                self.membership.handle_message_loss(from, ClockTime::default());
+                self.repeat_missed_updates(from, now);
             }
             PeerMessage::Cell(_)
             | PeerMessage::Await(..)
@@ -407,6 +416,11 @@
         change
     }
 
+    /// Handles the report that messages sent to a VM at `since` or later may not have arrived.
+    pub fn handle_message_loss(&mut self, vm: &VmName, since: ClockTime) {
+        self.membership.handle_message_loss(vm, since);
+    }
+
     /// Transfers leadership and tells the other VMs that this one stops.
     pub fn stop(&mut self, now: ClockTime) {
         self.stopping = true;
@@ -424,9 +438,9 @@
         let vm = heartbeat.owner.vm.clone();
         let (role, version, group) =
             (heartbeat.role, heartbeat.plan_version, heartbeat.group.clone());
-        if self.membership.handle_heartbeat(heartbeat, now) {
-            let message = PeerMessage::Cell(self.membership.endpoint_snapshot());
-            self.effects.push(ControlEffect::Send(vm.clone(), message));
+        let is_found = self.membership.handle_heartbeat(heartbeat, now);
+        self.repeat_missed_updates(&vm, now);
+        if is_found {
             // A VM that starts learns of the others at once.
             let (_, own) = self.cell_heartbeat(now);
             self.effects.push(ControlEffect::SendCellHeartbeat(vec![vm.clone()], own));
@@ -439,6 +453,18 @@
         }
     }
 
+    /// Sends a VM that was just heard the endpoint updates that it may lack.
+    fn repeat_missed_updates(&mut self, vm: &VmName, now: ClockTime) {
+        let Some(missed) = self.membership.take_missed_updates(vm, now) else { return };
+        self.effects.push(ControlEffect::EndpointsRepeated {
+            vm: vm.clone(),
+            n_updates: missed.records.len() as u64,
+            since: missed.since,
+        });
+        let message = PeerMessage::Cell(CellMessage::Endpoints(missed.records));
+        self.effects.push(ControlEffect::Send(vm.clone(), message));
+    }
+
     /// Learns the group from a peer's announcement as long as this VM's log does not have it.
     fn follow_announced_group(&mut self, group: &ControlGroup, now: ClockTime) {
         let held = self.held_group_version();
--- a/lib/tests/test_control_restart.rs
+++ b/lib/tests/test_control_restart.rs
@@ -227,7 +227,9 @@
                         self.n_read += 1;
                     }
                 }
-                ControlEffect::RoleChanged(_) | ControlEffect::Version(_) => {}
+                ControlEffect::RoleChanged(_)
+                | ControlEffect::Version(_)
+                | ControlEffect::EndpointsRepeated { .. } => {}
             }
         }
         let node = self.nodes[name].node();
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -395,6 +395,7 @@
                 ControlEffect::Store(_)
                 | ControlEffect::RoleChanged(_)
                 | ControlEffect::Version(_)
+                | ControlEffect::EndpointsRepeated { .. }
                 | ControlEffect::AnswerPlanRead(..)
                 | ControlEffect::SendCellHeartbeat(..) => {}
             }
