--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -235,7 +235,7 @@
         (self.n_sent, self.n_sent_bytes)
     }
 
-    /// Sends a message by TCP. Should it be lost, the report names `sent_at`.
+    /// Sends a message by TCP. If it may be lost, a report names `sent_at` or an earlier time.
     pub fn send(&mut self, to: &VmName, message: &PeerMessage, sent_at: ClockTime) {
         if self.is_cut_to(to) {
             return;
