cell: stragglers are told apart by cause, long jobs are answered

Cause: on a deployment where 3 jobs in 100 take seven times as long as the others of their route, a run past three times its prediction was stopped and started elsewhere without bound. The regression of real on declared times pulled a declared 853 ms down to 304 to 500 ms, so both tasks of such a job were stopped on one endpoint after the other until the caller left, and each endpoint counted as slow.

Change: a straggler is stuck, on a slow endpoint, a long task, or unknown, by its progress, the other runs of its endpoint, its siblings elsewhere and its task's former run. Long tasks keep their run and move their job's objective; the others get a bounded number of second starts. Declared times beyond three deviations of their route's are trusted and leave the regression alone.

--- a/adapters/src/cell_metrics.rs
+++ b/adapters/src/cell_metrics.rs
@@ -36,6 +36,12 @@
     proof: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: String,
+    restarts: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
     route: String,
@@ -68,6 +74,8 @@
     registry: Registry,
     events: Family<EventLabels, Counter>,
     proofs: Family<ProofLabels, Counter>,
+    stragglers: Family<CauseLabels, Counter>,
+    discarded_ms: Counter,
     jobs: Family<OutcomeLabels, Counter>,
     job_time: Family<RouteLabels, Histogram>,
     gauges: Family<NameLabels, Gauge>,
@@ -91,6 +99,18 @@
             "Proofs that runs are over: those relied on, and those that a run has disproved",
             proofs.clone(),
         );
+        let stragglers = Family::<CauseLabels, Counter>::default();
+        registry.register(
+            "stragglers",
+            "Runs far past their predicted time, by cause and whether they are started again",
+            stragglers.clone(),
+        );
+        let discarded_ms = Counter::default();
+        registry.register(
+            "discarded_ms",
+            "Run time of stopped runs whose tasks wait again, in ms",
+            discarded_ms.clone(),
+        );
         registry.register("jobs", "Jobs answered to callers", jobs.clone());
         registry.register(
             "job_seconds",
@@ -98,7 +118,17 @@
             job_time.clone(),
         );
         registry.register("figures", "Figures of the moment", gauges.clone());
-        CellMetrics { registry, events, proofs, jobs, job_time, gauges, routes: IndexSet::new() }
+        CellMetrics {
+            registry,
+            events,
+            proofs,
+            stragglers,
+            discarded_ms,
+            jobs,
+            job_time,
+            gauges,
+            routes: IndexSet::new(),
+        }
     }
 
     /// Counts a decision; an answered job also counts by route and outcome.
@@ -108,6 +138,18 @@
             let (event, proof) = (record.event.name(), record.outcome.clone());
             self.proofs.get_or_create(&ProofLabels { event, proof }).inc();
         }
+        let input = |name: &str| record.inputs.iter().find(|(it, _)| it == name).map(|(_, it)| *it);
+        match record.event {
+            DecisionEvent::RunStraggles => {
+                let restarts = if input("restarts") == Some(1) { "yes" } else { "no" };
+                let (cause, restarts) = (record.outcome.clone(), restarts.to_owned());
+                self.stragglers.get_or_create(&CauseLabels { cause, restarts }).inc();
+            }
+            DecisionEvent::TaskRequeued if record.outcome == "stopped" => {
+                self.discarded_ms.inc_by(input("ordered_ms").unwrap_or(0));
+            }
+            _ => {}
+        }
         if record.event != DecisionEvent::JobAnswered {
             return;
         }
--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -75,6 +75,10 @@
     pub(super) phase: TaskPhase,
     pub(super) last_run: u32,
     pub(super) n_failed: u32,
+    /// Runs that were stopped as stragglers.
+    pub(super) n_straggled: u32,
+    /// Whether one of these made progress.
+    pub(super) had_slow_run: bool,
     pub(super) avoid: Option<EndpointName>,
 }
 
@@ -94,6 +98,8 @@
     pub(super) n_left: usize,
     /// Whether any of its tasks may have started.
     pub(super) may_have_run: bool,
+    /// Whether its tasks have proved to take far longer than predicted.
+    pub(super) is_long: bool,
 }
 
 impl CellJob {
--- a/lib/src/cell/decision_record.rs
+++ b/lib/src/cell/decision_record.rs
@@ -56,6 +56,8 @@
     JobWithdrawn = "job_withdrawn",
     /// A task was placed on an endpoint.
     TaskPlaced = "task_placed",
+    /// A run is far past its predicted time, for the cause that the outcome names.
+    RunStraggles = "run_straggles",
     /// An order got no answer.
     OrderLost = "order_lost",
     /// A task was queued again; the outcome is the proof that its former run is over.
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -83,7 +83,15 @@
                 let task = TaskRef { job: offer.job, step: step as u32, idx };
                 let last_run = offer.first_run;
                 let phase = TaskPhase::Waiting;
-                tasks.push(CellTask { task, phase, last_run, n_failed: 0, avoid: None });
+                tasks.push(CellTask {
+                    task,
+                    phase,
+                    last_run,
+                    n_failed: 0,
+                    n_straggled: 0,
+                    had_slow_run: false,
+                    avoid: None,
+                });
             }
         }
         let critical_path_ms = self.times.critical_path_ms(&offer);
@@ -98,6 +106,7 @@
             n_left: tasks.len(),
             tasks,
             may_have_run: offer.is_repeat,
+            is_long: false,
             offer,
         }
     }
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -2,13 +2,13 @@
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, CellEffect, STALL_SLACK_MS, TaskPhase},
+        cell_dispatcher::{CellDispatcher, CellEffect, TaskPhase},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_directory::EndpointRecord,
         endpoint_order::{
             EndpointOrder, ListedRun, OrderBody, OrderOutcome, OrderRefusal, RunLists,
         },
-        endpoint_state::{EndpointRun, PendingPoll, RunPhase},
+        endpoint_state::{EndpointRun, PendingPoll, RunPhase, RunProgress},
         job_offer::{ResourceAmount, TaskRef},
         run_proof::RunProof,
     },
@@ -31,10 +31,6 @@
 /// Added to a task's run number after an endpoint refused it as old.
 const OLD_RUN_STEP: u32 = 64;
 
-/// A run counts as stalled beyond this many thousandths of its predicted time: the error of
-/// declared times is smaller.
-const STALL_MILLI: u64 = 3_000;
-
 impl CellDispatcher {
     /// Handles the outcome of an order.
     pub fn handle_outcome(&mut self, order: &EndpointOrder, outcome: OrderOutcome, now: ClockTime) {
@@ -288,7 +284,10 @@
                 run.phase = RunPhase::Working;
                 run.since = run.ordered_at;
             }
-            RunPhase::Working if run.run == listed.run => self.check_stall(name, listed, now),
+            RunPhase::Working if run.run == listed.run => {
+                run.progress = run.progress.update(listed.percent, now);
+                self.check_straggler(name, task, now);
+            }
             _ => {}
         }
     }
@@ -311,6 +310,7 @@
             since: now,
             ordered_at: now,
             predicted_ms: 1,
+            progress: RunProgress::default(),
             sent_at: now,
         };
         endpoint.runs.insert(listed.task, run);
@@ -335,38 +335,6 @@
         }
     }
 
-    /// Stops a stalled run if a new one elsewhere would end sooner.
-    pub(super) fn check_stall(&mut self, name: &EndpointName, listed: &ListedRun, now: ClockTime) {
-        let Some(endpoint) = self.endpoints.get_mut(name) else { return };
-        let Some(run) = endpoint.runs.get(&listed.task) else { return };
-        let worked_ms = now.since_ms(run.since);
-        let limit_ms = STALL_MILLI * run.predicted_ms / 1000 + STALL_SLACK_MS;
-        let total_ms = worked_ms * 100 / listed.percent.max(1);
-        if worked_ms < run.predicted_ms + STALL_SLACK_MS || total_ms < limit_ms {
-            return;
-        }
-        let factor_milli = endpoint.speed.factor_milli(now);
-        let typical_ms = run.predicted_ms * 1000 / factor_milli.max(1);
-        endpoint.speed.record_slow_run(total_ms, typical_ms, now);
-        let left_ms = total_ms.saturating_sub(worked_ms);
-        let free = endpoint.record.name.clone();
-        let demand = run.demand;
-        let fits_elsewhere = self.endpoints.values().any(|it| {
-            it.record.name != free
-                && it.accepts_starts(now)
-                && !it.speed.is_slow(now)
-                && it.free_resources().fits(&demand)
-        });
-        if typical_ms * 2 < left_ms && fits_elsewhere {
-            if let Some(job) = self.jobs.get_mut(&listed.task.job)
-                && let Some(task) = job.tasks.iter_mut().find(|it| it.task == listed.task)
-            {
-                task.avoid = Some(name.clone());
-            }
-            self.stop_run(name, listed.task, "stalled", now);
-        }
-    }
-
     /// Stops a run; its task is requeued only once the run is proved to be over.
     pub(super) fn stop_run(
         &mut self,
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -8,7 +8,7 @@
         cell_placement::{self, PlacementChoice, PlacementRequest},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_order::OrderBody,
-        endpoint_state::{EndpointRun, EndpointState, RunPhase},
+        endpoint_state::{EndpointRun, EndpointState, RunPhase, RunProgress},
         job_offer::{JobCode, TaskRef},
         run_proof::RunProof,
     },
@@ -118,6 +118,7 @@
             since: now,
             ordered_at: now,
             predicted_ms,
+            progress: RunProgress::default(),
             sent_at: now,
         };
         let free = endpoint.free_resources();
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -49,6 +49,25 @@
     Orphan,
 }
 
+/// Progress of a run as its endpoint lists it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RunProgress {
+    /// Share of the work that is done, in percent.
+    pub(crate) percent: u64,
+    /// When the run was first listed with this share, if it was listed.
+    pub(crate) changed_at: Option<ClockTime>,
+}
+
+impl RunProgress {
+    /// The progress after a list that shows the run at `percent`.
+    pub(crate) fn update(self, percent: u64, now: ClockTime) -> RunProgress {
+        match self.changed_at {
+            Some(_) if self.percent == percent => self,
+            _ => RunProgress { percent, changed_at: Some(now) },
+        }
+    }
+}
+
 /// A run on an endpoint.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointRun {
@@ -66,6 +85,8 @@
     pub(crate) ordered_at: ClockTime,
     /// Predicted run time, in ms.
     pub(crate) predicted_ms: u64,
+    /// Its progress as last listed.
+    pub(crate) progress: RunProgress,
     /// When its last order was sent.
     pub(crate) sent_at: ClockTime,
 }
--- a/lib/src/cell/run_forecast.rs
+++ b/lib/src/cell/run_forecast.rs
@@ -20,6 +20,23 @@
 const MODEL_SHARE: f64 = 0.005;
 /// Samples before a route's model is used; until then times are taken as declared.
 const MIN_MODEL_SAMPLES: u32 = 24;
+/// Distance of a declared time from the route's mean, in standard deviations of declared times,
+/// up to which the regression applies, and from which the declared time is trusted instead.
+/// Declared times that scatter around like real ones rarely lie beyond the first.
+const OUTLIER_DEVIATIONS: (f64, f64) = (2.0, 3.0);
+/// Lower bound on the standard deviation of declared times, as a logarithm: without it, a route
+/// whose jobs are all alike would treat small differences as outliers.
+const MIN_DEVIATION: f64 = 0.1;
+/// Buckets of a [`RatioHistogram`] for each doubling.
+const BUCKETS_PER_DOUBLING: f64 = 4.0;
+/// Bucket of a ratio of one.
+const UNIT_BUCKET: f64 = 8.0;
+/// Number of buckets: from a quarter to 64 times the predicted time.
+const N_BUCKETS: usize = 32;
+/// Samples after which the counts of a histogram are halved, so that it follows changes.
+const HISTOGRAM_SAMPLES: u32 = 4_096;
+/// Samples from which on a histogram's quantiles are used.
+const MIN_HISTOGRAM_SAMPLES: u32 = 200;
 /// Bounds of a learned factor, in thousandths: a sample beyond them is an accident.
 const FACTOR_BOUNDS: (u64, u64) = (100, 12_000);
 /// Half-life of an endpoint's learned slowness, in ms.
@@ -114,8 +131,10 @@
 
 /// Linear regression of the logarithm of real run times on that of declared ones.
 ///
-/// Declared times scatter more than real ones, so one far from the mean is only partly
-/// believed: the slope of the regression says how much.
+/// Declared times scatter more than real ones, so one away from the mean is only partly
+/// trusted: the slope of the regression says how much. One that lies further out than scatter
+/// explains belongs to a job that is unlike the others: it is trusted, and does not change the
+/// regression.
 #[derive(Clone, Copy, Debug, Default)]
 struct RunTimeModel {
     n_samples: u32,
@@ -123,12 +142,20 @@
     mean_real: f64,
     variance: f64,
     covariance: f64,
+    ratios: RatioHistogram,
 }
 
 impl RunTimeModel {
     fn record_run(&mut self, declared: f64, real: f64) {
-        self.n_samples += 1;
-        let share = (1.0 / f64::from(self.n_samples)).max(MODEL_SHARE);
+        if MIN_MODEL_SAMPLES <= self.n_samples {
+            self.ratios.add(real - self.real(declared));
+        }
+        let weight = 1.0 - self.outlier_share(declared);
+        if weight <= 0.0 {
+            return;
+        }
+        self.n_samples = self.n_samples.saturating_add(1);
+        let share = (1.0 / f64::from(self.n_samples)).max(MODEL_SHARE) * weight;
         let off_declared = declared - self.mean_declared;
         let off_real = real - self.mean_real;
         self.mean_declared += share * off_declared;
@@ -139,7 +166,57 @@
 
     fn real(&self, declared: f64) -> f64 {
         let slope = if 0.0 < self.variance { self.covariance / self.variance } else { 1.0 };
-        self.mean_real + slope.clamp(0.0, 1.0) * (declared - self.mean_declared)
+        let distance = declared - self.mean_declared;
+        let regressed = slope.clamp(0.0, 1.0) * distance;
+        let outlier_share = self.outlier_share(declared);
+        self.mean_real + regressed + outlier_share * (distance - regressed)
+    }
+
+    /// How far a declared time counts as an outlier, from 0 to 1.
+    fn outlier_share(&self, declared: f64) -> f64 {
+        if self.n_samples < MIN_MODEL_SAMPLES {
+            return 0.0;
+        }
+        let deviation = self.variance.sqrt().max(MIN_DEVIATION);
+        let n_deviations = (declared - self.mean_declared).abs() / deviation;
+        let (first, last) = OUTLIER_DEVIATIONS;
+        ((n_deviations - first) / (last - first)).clamp(0.0, 1.0)
+    }
+}
+
+/// Histogram of the logarithms of real over predicted run times.
+#[derive(Clone, Copy, Debug, Default)]
+struct RatioHistogram {
+    counts: [u32; N_BUCKETS],
+    n_samples: u32,
+}
+
+impl RatioHistogram {
+    fn add(&mut self, ratio: f64) {
+        let bucket = UNIT_BUCKET + ratio / std::f64::consts::LN_2 * BUCKETS_PER_DOUBLING;
+        let bucket = bucket.clamp(0.0, (N_BUCKETS - 1) as f64) as usize;
+        self.counts[bucket] += 1;
+        self.n_samples += 1;
+        if HISTOGRAM_SAMPLES <= self.n_samples {
+            self.counts.iter_mut().for_each(|it| *it /= 2);
+            self.n_samples = self.counts.iter().sum();
+        }
+    }
+
+    /// Upper bound of the bucket that holds the quantile `milli`, as a ratio in thousandths.
+    fn quantile_milli(&self, milli: u64) -> Option<u64> {
+        if self.n_samples < MIN_HISTOGRAM_SAMPLES {
+            return None;
+        }
+        let mut left = u64::from(self.n_samples) * milli / 1000;
+        for (bucket, n) in self.counts.iter().enumerate() {
+            if left < u64::from(*n) {
+                let doublings = (bucket as f64 + 1.0 - UNIT_BUCKET) / BUCKETS_PER_DOUBLING;
+                return Some((doublings.exp2() * 1000.0) as u64);
+            }
+            left -= u64::from(*n);
+        }
+        None
     }
 }
 
@@ -152,6 +229,12 @@
         (model.real((declared_ms as f64).ln()).exp().round() as u64).max(1)
     }
 
+    /// Quantile `milli` of real over predicted run times of a route, in thousandths, once enough
+    /// runs have ended.
+    pub fn ratio_quantile_milli(&self, route: &str, milli: u64) -> Option<u64> {
+        self.models.get(route)?.ratios.quantile_milli(milli)
+    }
+
     /// Records a run of `run_ms` on an endpoint that takes `factor_milli` thousandths of the
     /// time of an average one.
     pub fn record_run(&mut self, route: &str, run_ms: u64, declared_ms: u64, factor_milli: u64) {
