cell: end the lease of a lost entry's runs before a second copy

A job's caller may send it again resend_ms after its entry was lost. The bound on the first copy was a sum of times that each held for one leader: every takeover granted runs without a job 300 ms anew, and every leader renewed the endpoint's single lease for its other runs.

Each job now carries the time at which its entry last confirmed that the caller waits. A lease ends at the latest resend_ms - 150 - stop_ms after the oldest confirmation of the endpoint's jobs; beside a run that no job claims, no lease is granted until its stop is acknowledged. Such runs are stopped after 100 ms where adopted runs need the lease. Keep-alives carry their send time. The bounds come from the settings, which must have stop_ms, lease_ms, max_hold_ms and resend_ms.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -17,15 +17,13 @@
         endpoint_state::EndpointState,
         job_offer::{JobCode, JobOffer, JobResult, ResourceAmount, TaskRef},
         local_load::LocalLoad,
+        run_bounds::RunBounds,
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
         run_proof::RunProof,
     },
     prelude::*,
 };
 
-/// Lease granted with starts and polls, in ms: it outlasts three lost polls, and a caller
-/// sends a second copy of its job only after it has expired.
-pub(super) const LEASE_MS: u64 = 800;
 /// Time for an order's answer beyond its wait, in ms: many round trips, and short enough for a
 /// retry within the lease.
 const ORDER_RESPONSE_MS: u64 = 200;
@@ -88,7 +86,7 @@
     pub(super) caller_deadline: ClockTime,
     /// After this time, an answer has no value for the caller.
     pub(super) useful_until: ClockTime,
-    /// When its entry last confirmed that the caller waits.
+    /// Latest time at which its entry is known to have confirmed that the caller waits.
     pub(super) last_keep_alive_at: ClockTime,
     pub(super) tasks: Vec<CellTask>,
     pub(super) n_left: usize,
@@ -144,6 +142,7 @@
     pub(super) local_load: LocalLoad,
     /// Factor on the run time of a task outside the rack of its data, in thousandths.
     pub(super) off_rack_milli: u64,
+    pub(super) bounds: RunBounds,
     /// Whether every endpoint that a former leader may have used is known.
     pub(super) endpoints_are_known: bool,
     /// Tasks reported as done before their job was offered to this leader.
@@ -180,6 +179,7 @@
             times: RouteTimes::default(),
             local_load: LocalLoad::default(),
             off_rack_milli: OFF_RACK_MILLI,
+            bounds: RunBounds::default(),
             endpoints_are_known,
             done_before_offer: IndexMap::new(),
             is_token_accepted: false,
@@ -195,6 +195,11 @@
         CellDispatcher { off_rack_milli, ..self }
     }
 
+    /// Sets the deployment's bounds on runs.
+    pub fn with_bounds(self, bounds: RunBounds) -> CellDispatcher {
+        CellDispatcher { bounds, ..self }
+    }
+
     /// Fencing token of this leader.
     pub fn token(&self) -> u64 {
         self.token
--- a/lib/src/cell/cell_message.rs
+++ b/lib/src/cell/cell_message.rs
@@ -36,8 +36,9 @@
 pub enum CellMessage {
     /// Offers a job to the leader of a cell, with the send time on the sender's clock.
     Offer(CellName, JobOffer, ClockTime),
-    /// The callers of these jobs, given with their offer numbers, still wait.
-    KeepAlive(CellName, Vec<(JobCode, u64)>),
+    /// The callers of these jobs, given with their offer numbers, still wait; with the send time on
+    /// the sender's clock.
+    KeepAlive(CellName, Vec<(JobCode, u64)>, ClockTime),
     /// Result of a job, with the number of the offer that it answers.
     JobResult(CellName, JobCode, u64, JobResult),
     /// Cancels a job whose caller has left.
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -18,6 +18,7 @@
         job_offer::{JobCode, JobResult, RefusalCause},
         job_router::{CellView, JobRouter, RoutedJob},
         route_plan::RoutePlan,
+        run_bounds::RunBounds,
     },
     entry_node::CallNumber,
     job_ledger::OwnerId,
@@ -71,6 +72,8 @@
     pub controls: Vec<VmName>,
     /// Factor on the run time of a task off its data's rack, in thousandths.
     pub off_rack_milli: u64,
+    /// Bounds of the deployment on runs.
+    pub bounds: RunBounds,
 }
 
 /// An effect that the host runs.
@@ -395,7 +398,7 @@
                     job.offered_at = now;
                 }
             }
-            self.send(&leader, CellMessage::KeepAlive(cell, waiting));
+            self.send(&leader, CellMessage::KeepAlive(cell, waiting, now));
         }
     }
 
--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, LEASE_MS, STALL_SLACK_MS},
+        cell_dispatcher::{CellDispatcher, STALL_SLACK_MS},
         endpoint_directory::EndpointRecord,
         endpoint_order::OrderBody,
-        endpoint_state::{EndpointState, PendingPoll, RunPhase},
+        endpoint_state::{EndpointState, NO_LIMIT, PendingPoll, RunPhase},
         run_proof::RunProof,
     },
     prelude::*,
@@ -15,12 +15,14 @@
 const POLL_WAIT_MS: u64 = 260;
 
 /// How long an orphan waits for its job before it is stopped, in ms. Entries offer their jobs
-/// again once they know the new leader; if the entry has failed, its caller may send a second
-/// copy elsewhere.
+/// again once they know the new leader. The endpoint's lease is not renewed meanwhile, so this time
+/// decides nothing about a caller's second copy.
 const ORPHAN_GRACE_MS: u64 = 300;
 
-/// Time from an acknowledged stop until the run has certainly ended, in ms.
-const STOP_DURATION_MS: u64 = 55;
+/// The same beside runs whose jobs were offered, in ms: they need the endpoint's lease, of which
+/// 120 ms may be left once a killed leader is followed. Offers of live entries come within some
+/// tens of ms.
+const MIXED_ORPHAN_GRACE_MS: u64 = 100;
 
 /// Time after which an unacknowledged stop is resent, in ms.
 const STOP_RESEND_MS: u64 = 150;
@@ -54,7 +56,8 @@
                 Some(endpoint) if record.incarnation < endpoint.record.incarnation => {}
                 Some(_) => self.begin_incarnation(record, now),
                 None => {
-                    let endpoint = EndpointState::new(record.clone(), self.highest_token, now);
+                    let endpoint =
+                        EndpointState::new(record.clone(), self.highest_token, self.bounds, now);
                     self.endpoints.insert(record.name.clone(), endpoint);
                 }
             }
@@ -99,8 +102,29 @@
         }
     }
 
+    /// Sets how long the lease of an endpoint may last, by the jobs of its runs.
+    ///
+    /// The bound goes with each run and not with its leader: a run that no job here claims grants no
+    /// more lease, so takeovers, however many, never add to what was granted while its job's entry
+    /// was heard. A stop that the endpoint has acknowledged ends its run by itself.
+    pub(super) fn limit_lease(&mut self, idx: usize, now: ClockTime) {
+        let Some((_, endpoint)) = self.endpoints.get_index_mut(idx) else { return };
+        let mut limit = NO_LIMIT;
+        for (task, run) in &endpoint.runs {
+            if matches!(run.phase, RunPhase::Stopping { acked_at: Some(_) }) {
+                continue;
+            }
+            let job = self.jobs.get(&task.job);
+            let vouched_until =
+                job.map_or(now, |it| it.last_keep_alive_at.plus_ms(self.bounds.unvouched_ms()));
+            limit = limit.min(vouched_until);
+        }
+        endpoint.lease_limit = limit;
+    }
+
     /// Sends a poll if one is due: to claim the endpoint, renew its lease or learn of ended runs.
     pub(super) fn poll(&mut self, idx: usize, now: ClockTime) {
+        self.limit_lease(idx, now);
         let Some((name, endpoint)) = self.endpoints.get_index_mut(idx) else { return };
         if endpoint.poll.is_some() || now < endpoint.retry_at {
             return;
@@ -117,12 +141,15 @@
         let is_idle = endpoint.runs.values().all(|it| it.phase == RunPhase::Orphan);
         let wait_ms = if is_claim || is_urgent || is_idle || 0 < endpoint.n_unanswered {
             0
+        } else if endpoint.lease_limit <= now {
+            // The lease is renewed as soon as the runs without a job are stopped.
+            MIN_POLL_WAIT_MS
         } else {
             endpoint.overdue_in_ms(STALL_SLACK_MS, now).clamp(MIN_POLL_WAIT_MS, POLL_WAIT_MS)
         };
         // The lease of an endpoint that does not answer isn't renewed, so that its runs expire.
         let renews = !is_claim && !is_idle && endpoint.n_unanswered == 0 && !self.is_fenced;
-        let lease_until = if renews { endpoint.extend_lease(LEASE_MS, now) } else { None };
+        let lease_until = if renews { endpoint.extend_lease(now) } else { None };
         let body = OrderBody::Poll { cursor: endpoint.cursor, wait_ms };
         let name = name.clone();
         let number = self.send_order(&name, lease_until, wait_ms, body);
@@ -133,6 +160,7 @@
     pub fn tick(&mut self, own: &VmName, now: ClockTime) {
         self.expire_results(now);
         self.expire_closed_runs(now);
+        self.confirm_own_jobs(own, now);
         self.cancel_abandoned(own, now);
         self.done_before_offer.retain(|_, at| now.since_ms(*at) < FORMER_END_CACHE_MS);
         for idx in 0..self.endpoints.len() {
@@ -161,11 +189,12 @@
         let mut over = Vec::new();
         let mut resend = Vec::new();
         let mut unclaimed = Vec::new();
+        let is_mixed = endpoint.runs.values().any(|it| it.phase != RunPhase::Orphan);
+        let grace_ms = if is_mixed { MIXED_ORPHAN_GRACE_MS } else { ORPHAN_GRACE_MS };
+        let stop_span_ms = self.bounds.stop_span_ms();
         for (task, run) in &endpoint.runs {
             match run.phase {
-                RunPhase::Stopping { acked_at: Some(at) }
-                    if STOP_DURATION_MS <= now.since_ms(at) =>
-                {
+                RunPhase::Stopping { acked_at: Some(at) } if stop_span_ms <= now.since_ms(at) => {
                     over.push((*task, run.run));
                 }
                 RunPhase::Stopping { acked_at: None }
@@ -173,9 +202,7 @@
                 {
                     resend.push(*task);
                 }
-                RunPhase::Orphan if ORPHAN_GRACE_MS <= now.since_ms(run.since) => {
-                    unclaimed.push(*task)
-                }
+                RunPhase::Orphan if grace_ms <= now.since_ms(run.since) => unclaimed.push(*task),
                 _ => {}
             }
         }
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -10,9 +10,9 @@
     prelude::*,
 };
 
-/// A job is cancelled after this time without a keep-alive from its entry, in ms: a caller
-/// may send a second copy 1.3 s after it has given up.
-const KEEP_ALIVE_LIMIT_MS: u64 = 1_000;
+/// A job is cancelled this long before the leases of its runs end for want of a keep-alive, in ms,
+/// so that its tasks are not started under a lease that is about to end.
+const CANCEL_MARGIN_MS: u64 = 100;
 
 /// Maximum number of cached results.
 const MAX_CACHED_RESULTS: usize = 4_096;
@@ -26,10 +26,21 @@
 impl CellDispatcher {
     /// Handles an offer from `origin`: accepts, refuses or returns the job, or joins it if known.
     pub fn handle_offer(&mut self, origin: &VmName, offer: JobOffer, now: ClockTime) {
+        self.handle_offer_sent_at(origin, offer, now, now);
+    }
+
+    /// Handles an offer that was sent at `sent_at`, on this VM's clock.
+    pub fn handle_offer_sent_at(
+        &mut self,
+        origin: &VmName,
+        offer: JobOffer,
+        sent_at: ClockTime,
+        now: ClockTime,
+    ) {
         let code = offer.job;
         if let Some(job) = self.jobs.get_mut(&code) {
             job.origin = origin.clone();
-            job.last_keep_alive_at = now;
+            job.last_keep_alive_at = job.last_keep_alive_at.max(sent_at);
             job.offer.number = offer.number;
             job.caller_deadline = job.caller_deadline.max(now.plus_ms(offer.remaining_ms));
             let record =
@@ -49,6 +60,7 @@
             return;
         }
         let mut job = self.new_job(origin, offer, now);
+        job.last_keep_alive_at = sent_at;
         if self.is_data_local(&job.offer) {
             let work = self.times.work(&job.offer);
             self.local_load.add(work, now);
@@ -193,17 +205,18 @@
         self.effects.push(CellEffect::ReportResult(offer.0, offer.1, offer.2, result));
     }
 
-    /// Records that the caller of an offer still waits; returns a result if the job isn't here.
+    /// Records that the caller of an offer waited at `sent_at`, on this VM's clock; returns a result
+    /// if the job isn't here.
     pub fn handle_keep_alive(
         &mut self,
         origin: &VmName,
         code: JobCode,
         number: u64,
-        now: ClockTime,
+        sent_at: ClockTime,
     ) -> Option<JobResult> {
         if let Some(job) = self.jobs.get_mut(&code) {
             if job.origin == *origin {
-                job.last_keep_alive_at = now;
+                job.last_keep_alive_at = job.last_keep_alive_at.max(sent_at);
             }
             return None;
         }
@@ -212,10 +225,17 @@
         Some(known.unwrap_or(JobResult::NotLeader))
     }
 
+    /// Records that the callers of this entry's own jobs wait: it learns at once of one that leaves.
+    pub(super) fn confirm_own_jobs(&mut self, own: &VmName, now: ClockTime) {
+        for job in self.jobs.values_mut().filter(|it| it.origin == *own) {
+            job.last_keep_alive_at = now;
+        }
+    }
+
     pub(super) fn cancel_abandoned(&mut self, own: &VmName, now: ClockTime) {
-        let is_abandoned = |it: &CellJob| {
-            it.origin != *own && KEEP_ALIVE_LIMIT_MS <= now.since_ms(it.last_keep_alive_at)
-        };
+        let limit_ms = self.bounds.unvouched_ms().saturating_sub(CANCEL_MARGIN_MS);
+        let is_abandoned =
+            |it: &CellJob| it.origin != *own && limit_ms <= now.since_ms(it.last_keep_alive_at);
         let codes: Vec<JobCode> =
             self.jobs.iter().filter(|(_, it)| is_abandoned(it)).map(|(code, _)| *code).collect();
         for code in codes {
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, ClosedRun, LEASE_MS, TaskPhase},
+        cell_dispatcher::{CellDispatcher, ClosedRun, TaskPhase},
         cell_placement::{self, PlacementChoice, PlacementRequest},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_order::OrderBody,
@@ -15,11 +15,6 @@
     prelude::*,
 };
 
-/// Longest wait of a former leader's job for all endpoints to list their runs, in ms. By then
-/// no run of the job is left: the former leader has returned the job or considers its entry
-/// failed, so it stops the job's runs or no longer renews their lease.
-const REPEAT_WAIT_MS: u64 = LEASE_MS + 350;
-
 /// Time for which a closed run is remembered, in ms: an order may be carried out this late.
 const CLOSED_RUN_MS: u64 = 20_000;
 
@@ -40,7 +35,9 @@
         let mut largest = cell_placement::max_free_resources(&self.endpoints, now);
         for (_, code) in self.ranked_waiting(now) {
             let job = &self.jobs[&code];
-            let is_over = REPEAT_WAIT_MS <= now.since_ms(job.arrived_at);
+            // A former leader has got no keep-alive since, so it has let the lease of the job's runs
+            // end.
+            let is_over = self.bounds.runs_over_ms() <= now.since_ms(job.arrived_at);
             let may_start = are_known || is_over || !job.offer.is_repeat;
             if may_start && job.waiting_demands().any(|it| largest.fits(it)) {
                 self.place_job(code, &mut reserved, now);
@@ -100,10 +97,13 @@
         predicted_ms: u64,
         now: ClockTime,
     ) {
+        let unvouched_ms = self.bounds.unvouched_ms();
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let Some(job) = self.jobs.get_mut(&code) else { return };
+        let vouched_until = job.last_keep_alive_at.plus_ms(unvouched_ms);
+        endpoint.lease_limit = endpoint.lease_limit.min(vouched_until);
         check_invariant(Invariant::EndpointAcceptsWork, !endpoint.record.leaving);
-        let lease_until = endpoint.extend_lease(LEASE_MS, now);
+        let lease_until = endpoint.extend_lease(now);
         let task = &mut job.tasks[idx];
         check_invariant(Invariant::TaskStartsOnce, task.phase == TaskPhase::Waiting);
         task.last_run += 1;
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -7,19 +7,14 @@
         endpoint_directory::EndpointRecord,
         endpoint_order::OrderNumber,
         job_offer::{ResourceAmount, TaskRef},
+        run_bounds::{CLOCK_RATE_MILLI, LAPSE_MARGIN_MS, RunBounds},
         run_forecast::EndpointSpeed,
     },
     prelude::*,
 };
 
-/// Slowest rate of an endpoint's monotonic clock relative to ours, in thousandths.
-const CLOCK_RATE_MILLI: u64 = 980;
-/// Margin on an endpoint's clock before its lease counts as expired, in ms: link delays.
-const LAPSE_MARGIN_MS: u64 = 30;
-/// Longest lease that an endpoint grants, in ms: a former leader may have granted it.
-const LONGEST_LEASE_MS: u64 = 1_000;
-/// Longest time for which a lease can last, on the leader's clock, in ms.
-const MAX_LEASE_SPAN_MS: u64 = LONGEST_LEASE_MS * 1000 / CLOCK_RATE_MILLI + LAPSE_MARGIN_MS;
+/// Shortest lease with which starts are sent, in ms: the time limit of an order.
+const MIN_START_LEASE_MS: u64 = 200;
 /// Consecutive failures that start a quarantine; a single one may be the task's fault.
 const QUARANTINE_FAILURES: u32 = 2;
 /// First quarantine, in ms: as long as a few tasks. Each further one is twice as long.
@@ -30,6 +25,9 @@
 /// Limits the quarantine to 6.4 s, so that a recovered endpoint is soon used again.
 const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
 
+/// Lease limit of an endpoint whose runs end by themselves in time.
+pub(crate) const NO_LIMIT: ClockTime = ClockTime(u64::MAX);
+
 /// Phase of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -84,6 +82,7 @@
 pub(crate) struct EndpointState {
     /// Its latest announcement.
     pub(crate) record: EndpointRecord,
+    bounds: RunBounds,
     /// When its incarnation was learned of.
     pub(crate) begun_at: ClockTime,
     /// When a lease was last sent.
@@ -103,6 +102,9 @@
     pub(crate) clock: Option<(u64, ClockTime)>,
     /// End of the latest lease sent, on its clock.
     pub(crate) lease_until: u64,
+    /// Time beyond which no lease may last, on the leader's clock: an endpoint has one lease for all
+    /// its runs, and a run whose job no entry vouches for must end with it.
+    pub(crate) lease_limit: ClockTime,
     /// Runs that may use its resources.
     pub(crate) runs: IndexMap<TaskRef, EndpointRun>,
     /// Number of the last processed end of a run.
@@ -129,9 +131,15 @@
 
 impl EndpointState {
     /// Creates the state of an endpoint of which only the announcement is known.
-    pub(crate) fn new(record: EndpointRecord, token: u64, now: ClockTime) -> EndpointState {
+    pub(crate) fn new(
+        record: EndpointRecord,
+        token: u64,
+        bounds: RunBounds,
+        now: ClockTime,
+    ) -> EndpointState {
         EndpointState {
             record,
+            bounds,
             begun_at: now,
             leased_at: ClockTime::default(),
             departed_at: None,
@@ -141,6 +149,7 @@
             is_displaced: false,
             clock: None,
             lease_until: 0,
+            lease_limit: NO_LIMIT,
             runs: IndexMap::new(),
             cursor: 0,
             owes_cursor: false,
@@ -203,6 +212,7 @@
             && self.retry_at <= now
             && (!self.on_probation || self.runs.is_empty())
             && !self.has_orphans()
+            && now.plus_ms(MIN_START_LEASE_MS) <= self.lease_limit
     }
 
     /// Whether orphans use an unknown amount of its resources.
@@ -229,9 +239,13 @@
         Some(clock + now.since_ms(at) * CLOCK_RATE_MILLI / 1000)
     }
 
-    /// Extends the lease to `span_ms` from now and returns its end on the endpoint's clock.
-    pub(crate) fn extend_lease(&mut self, span_ms: u64, now: ClockTime) -> Option<u64> {
+    /// Extends the lease as far as its limit permits and returns its end on the endpoint's clock.
+    pub(crate) fn extend_lease(&mut self, now: ClockTime) -> Option<u64> {
         let (clock, at) = self.clock?;
+        let span_ms = self.bounds.granted_lease_ms().min(self.lease_limit.since_ms(now));
+        if span_ms == 0 {
+            return None;
+        }
         let until = clock + now.since_ms(at) + span_ms;
         self.lease_until = self.lease_until.max(until);
         self.leased_at = now;
@@ -243,7 +257,7 @@
     /// An incarnation that has not answered yet reads the end of a lease on a clock that the
     /// leader doesn't know, so it may grant the longest one.
     pub(crate) fn lease_is_over(&self, now: ClockTime) -> bool {
-        let is_past = |at: ClockTime| MAX_LEASE_SPAN_MS <= now.since_ms(at);
+        let is_past = |at: ClockTime| self.bounds.longest_lease_span_ms() <= now.since_ms(at);
         let unanswered = self.runs.values().filter(|it| !it.was_answered);
         let is_known_over = match self.clock_now(now) {
             Some(clock) if self.claimed => self.lease_until + LAPSE_MARGIN_MS < clock,
@@ -255,12 +269,12 @@
     /// Whether another endpoint has its address, and every lease that a former leader may have
     /// granted it has expired.
     pub(crate) fn is_displaced_for_good(&self, now: ClockTime) -> bool {
-        self.is_displaced && MAX_LEASE_SPAN_MS <= now.since_ms(self.begun_at)
+        self.is_displaced && self.bounds.longest_lease_span_ms() <= now.since_ms(self.begun_at)
     }
 
     /// Whether it was announced as gone and can have no runs, also none of a former leader.
     pub(crate) fn is_gone(&self, now: ClockTime) -> bool {
-        let wait_ms = if self.claimed { 0 } else { MAX_LEASE_SPAN_MS };
+        let wait_ms = if self.claimed { 0 } else { self.bounds.longest_lease_span_ms() };
         self.runs.is_empty() && self.departed_at.is_some_and(|at| wait_ms <= now.since_ms(at))
     }
 
@@ -279,7 +293,7 @@
         if !std::mem::replace(&mut self.claimed, true)
             && let Some((clock, _)) = self.clock
         {
-            self.lease_until = self.lease_until.max(clock + LONGEST_LEASE_MS);
+            self.lease_until = self.lease_until.max(clock + self.bounds.max_hold_ms);
         }
     }
 
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -44,5 +44,6 @@
 mod node_heartbeats;
 mod node_peers;
 pub mod route_plan;
+pub mod run_bounds;
 pub mod run_forecast;
 pub mod run_proof;
--- a/lib/src/cell/node_cells.rs
+++ b/lib/src/cell/node_cells.rs
@@ -124,7 +124,8 @@
         let first_order = self.n_cells_led * ORDERS_PER_CELL;
         let is_known = self.knows_endpoints(cell, now);
         let mut dispatcher = CellDispatcher::new(cell.clone(), token, first_order, is_known)
-            .with_off_rack_milli(self.settings.off_rack_milli);
+            .with_off_rack_milli(self.settings.off_rack_milli)
+            .with_bounds(self.settings.bounds);
         let records: Vec<EndpointRecord> = self.directory.endpoints_of(cell).cloned().collect();
         let record = DecisionRecord::new(now, DecisionEvent::CellClaimed, cell.to_string(), reason);
         self.log_decision(record.with("token", token).with("endpoints", records.len() as u64));
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -26,11 +26,13 @@
             CellMessage::Offer(cell, offer, sent_at) => {
                 self.handle_offer(from, cell, offer, sent_at, now);
             }
-            CellMessage::KeepAlive(cell, waiting) => {
+            CellMessage::KeepAlive(cell, waiting, sent_at) => {
+                let delay_ms = self.peers.get(from).map_or(0, |it| it.delay_ms(sent_at, now));
+                let sent_at = now.minus_ms(delay_ms);
                 for (code, number) in waiting {
                     let led = self.led.get_mut(&cell);
                     let result = match led {
-                        Some(led) => led.dispatcher.handle_keep_alive(from, code, number, now),
+                        Some(led) => led.dispatcher.handle_keep_alive(from, code, number, sent_at),
                         None => Some(JobResult::NotLeader),
                     };
                     if let Some(result) = result {
@@ -74,7 +76,7 @@
         let is_stale = STALE_OFFER_MS < delay_ms;
         match self.led.get_mut(&cell) {
             Some(led) if !is_stale && led.dispatcher.token() == offer.token => {
-                led.dispatcher.handle_offer(from, offer, now);
+                led.dispatcher.handle_offer_sent_at(from, offer, now.minus_ms(delay_ms), now);
             }
             _ => {
                 let outcome = if is_stale { "stale offer" } else { "not the leader" };
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -10,6 +10,7 @@
         endpoint_order::{OrderBody, OrderOutcome, RunLists},
         job_offer::{JobCode, JobOffer, JobResult, JobStep, ResourceAmount},
         route_plan::RoutePlan,
+        run_bounds::RunBounds,
     },
     config_state::ControlGroup,
     entry_node::CallNumber,
@@ -32,6 +33,7 @@
         weight: 250,
         controls: Vec::new(),
         off_rack_milli: 2_000,
+        bounds: RunBounds::default(),
     };
     (vm, CellNode::new(settings, now))
 }
@@ -468,7 +470,7 @@
     let offered_at = now;
     while !trace.has_started && now < offered_at.plus_ms(3_000) {
         now = now.plus_ms(20);
-        let keep_alive = CellMessage::KeepAlive(remote_cell.clone(), vec![(JobCode(1), 0)]);
+        let keep_alive = CellMessage::KeepAlive(remote_cell.clone(), vec![(JobCode(1), 0)], now);
         leader.handle_message(&origin, keep_alive, now);
         advance(&mut leader, &mut trace, now);
     }
@@ -489,6 +491,7 @@
                 weight: 250,
                 controls: Vec::new(),
                 off_rack_milli: 2_000,
+                bounds: RunBounds::default(),
             };
             nodes.insert(vm, CellNode::new(settings, START));
         }
--- a/testutils/src/bin/cells.rs
+++ b/testutils/src/bin/cells.rs
@@ -21,6 +21,9 @@
     /// departures may be announced during an endpoint's next life
     #[argh(switch)]
     late_departures: bool,
+    /// leaders are killed whose successors stand still soon after, beside long tasks
+    #[argh(switch)]
+    successors: bool,
     /// print the notes that contain this text
     #[argh(option)]
     notes: Option<String>,
@@ -32,8 +35,10 @@
         n_faults: args.faults,
         in_series: args.series,
         late_departures: args.late_departures,
+        successors_freeze: args.successors,
         ..CellPlan::default()
     };
+    let plan = if args.successors { CellPlan { n_jobs: 80, ..plan } } else { plan };
     let (mut n_broken, mut n_completed, mut n_refused) = (0, 0, 0);
     for seed in args.seed..args.seed + args.cases {
         let mut world = CellWorld::new(seed, &plan);
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -21,6 +21,7 @@
         endpoint_order::{EndpointOrder, OrderBody, OrderOutcome, OrderRefusal},
         job_offer::{JobCode, JobOffer, JobResult, JobStep, ResourceAmount, TaskRef},
         route_plan::RoutePlan,
+        run_bounds::RunBounds,
     },
     entry_node::CallNumber,
     job_ledger::OwnerId,
@@ -50,6 +51,14 @@
 const RETRANSMIT_MS: u64 = 400;
 /// Time from an order on after which it counts as held up, in ms.
 const HELD_UP_MS: u64 = 100;
+/// Work of long tasks, in ms: they outlast two takeovers.
+const LONG_WORK_MS: std::ops::Range<u64> = 1_200..1_800;
+/// Time for which the caller of a job with long tasks waits, in ms.
+const LONG_PATIENCE_MS: u64 = 5_000;
+/// Time from the kill of a leader until it starts again, in ms.
+const RESTART_MS: u64 = 500;
+/// Time for which the successor of a killed leader stands still, in ms.
+const SUCCESSOR_FREEZE_MS: u64 = 4_000;
 /// How far the clock of an endpoint that took over an address is ahead, in ms.
 const OTHER_AHEAD_MS: u64 = 7_000_000;
 
@@ -72,6 +81,8 @@
     pub in_series: bool,
     /// Whether an endpoint's departure may be announced during its next life.
     pub late_departures: bool,
+    /// Whether leaders are killed whose successors stand still soon after, beside long tasks.
+    pub successors_freeze: bool,
 }
 
 impl Default for CellPlan {
@@ -85,6 +96,7 @@
             n_faults: 8,
             in_series: false,
             late_departures: false,
+            successors_freeze: false,
         }
     }
 }
@@ -118,6 +130,9 @@
     Kill(VmName, u64),
     /// An entry stands still for so many ms.
     Freeze(VmName, u64),
+    /// An entry that leads cells is killed, and the entry that takes over first stands still so many
+    /// ms after it has.
+    LoseSuccessor(u64),
     /// An entry stops in good order and starts again.
     Stop(VmName),
     /// A data centre is cut off from the others for so many ms.
@@ -250,6 +265,8 @@
     delay_milli: u64,
     /// Orders whose outcome is still to come.
     open_orders: IndexSet<(VmName, u64, u64)>,
+    /// When the next entry that takes over stands still, and how many cells each led before.
+    successor_watch: Option<(u64, IndexMap<VmName, usize>)>,
 }
 
 fn vm_of(centre: usize, idx: usize) -> VmName {
@@ -309,12 +326,17 @@
             lose_milli: 0,
             delay_milli: 0,
             open_orders: IndexSet::new(),
+            successor_watch: None,
         };
         world.build(plan);
         let mut n_left = plan.n_faults;
         while 0 < n_left {
             let after_ms = 4_000 + world.rng.random_range(0..plan.span_ms);
-            if plan.in_series {
+            if plan.successors_freeze {
+                let freeze_ms = world.rng.random_range(10..300);
+                world.add_fault(after_ms, CellFault::LoseSuccessor(freeze_ms));
+                n_left -= 1;
+            } else if plan.in_series {
                 n_left -= world.add_series(after_ms, n_left, plan);
             } else {
                 let fault = world.draw_fault(plan);
@@ -365,6 +387,8 @@
             let centre = self.rng.random_range(0..plan.n_centres);
             let rack = self.rng.random_range(0..plan.n_runners.div_ceil(4));
             let work_ms = if is_short { 60 } else { self.rng.random_range(100..900) };
+            let is_long = plan.successors_freeze && !is_short && self.rng.random_range(0..2) == 0;
+            let work_ms = if is_long { self.rng.random_range(LONG_WORK_MS) } else { work_ms };
             let step = JobStep {
                 count: self.rng.random_range(1..6),
                 demand: ResourceAmount {
@@ -389,7 +413,7 @@
                 stretch_milli: STRETCH_MILLI,
                 slack_ms: SLACK_MS,
                 age_ms: 0,
-                remaining_ms: PATIENCE_MS,
+                remaining_ms: if is_long { LONG_PATIENCE_MS } else { PATIENCE_MS },
                 first_run: 0,
                 number: 0,
                 token: 0,
@@ -543,6 +567,7 @@
                 for vm in self.entries.keys().cloned().collect::<Vec<_>>() {
                     self.with_node(&vm, |node, now| node.tick(now));
                 }
+                self.watch_successor();
                 self.tick_runners();
                 self.push(self.now.plus_ms(TICK_MS), WorldEvent::Tick);
             }
@@ -657,6 +682,7 @@
             weight: 250,
             controls: Vec::new(),
             off_rack_milli: 2_000,
+            bounds: RunBounds::default(),
         };
         entry.node = Some(CellNode::new(settings, now));
         // A control VM would tell of the routes, the endpoints and the others.
@@ -832,8 +858,9 @@
         job.refused_at = None;
         job.is_waiting = Some((vm.clone(), call));
         let (attempt, offer) = (job.attempts, job.offer.clone());
+        let patience_ms = offer.remaining_ms;
         self.calls.insert((vm.clone(), call), code);
-        self.push(self.now.plus_ms(PATIENCE_MS), WorldEvent::GiveUp(code, attempt));
+        self.push(self.now.plus_ms(patience_ms), WorldEvent::GiveUp(code, attempt));
         let incarnation = self.entries[&vm].incarnation;
         self.take_traffic(WorldEvent::Call(vm, incarnation, call, offer));
     }
@@ -1144,6 +1171,7 @@
         };
         match &fault {
             CellFault::Kill(vm, span_ms) => self.kill(vm, *span_ms),
+            CellFault::LoseSuccessor(freeze_ms) => self.lose_leader(*freeze_ms),
             CellFault::Freeze(vm, span_ms) => {
                 if let Some(entry) = self.entries.get_mut(vm) {
                     entry.frozen = true;
@@ -1281,6 +1309,32 @@
         }
     }
 
+    /// Kills the entry that leads the most cells; its successor stands still later.
+    fn lose_leader(&mut self, freeze_ms: u64) {
+        let n_led = |it: &WorldEntry| it.node.as_ref().map_or(0, CellNode::n_led);
+        let led: IndexMap<VmName, usize> =
+            self.entries.iter().map(|(vm, it)| (vm.clone(), n_led(it))).collect();
+        let leader = led.iter().max_by_key(|(_, it)| **it).map(|(vm, _)| vm.clone());
+        if let Some(leader) = leader {
+            self.kill(&leader, RESTART_MS);
+            self.successor_watch = Some((freeze_ms, led));
+        }
+    }
+
+    /// Lets an entry stand still that has taken over cells of the one that was killed.
+    fn watch_successor(&mut self) {
+        let Some((freeze_ms, led)) = &self.successor_watch else { return };
+        let leads_more = |(vm, it): (&VmName, &WorldEntry)| {
+            let n_led = it.node.as_ref().map_or(0, CellNode::n_led);
+            (led.get(vm).is_some_and(|before| *before < n_led)).then(|| vm.clone())
+        };
+        if let Some(vm) = self.entries.iter().find_map(leads_more) {
+            let at = self.now.plus_ms(*freeze_ms);
+            self.push(at, WorldEvent::Fault(CellFault::Freeze(vm, SUCCESSOR_FREEZE_MS)));
+            self.successor_watch = None;
+        }
+    }
+
     fn reset(&mut self, lhs: &VmName, rhs: &VmName) {
         if lhs == rhs {
             return;
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -18,6 +18,7 @@
         cell_node::{CellNode, CellSettings, NodeEffect},
         endpoint_order::{EndpointOrder, OrderBody, OrderOutcome},
         job_offer::{JobCode, JobOffer, JobResult, JobStep, ResourceAmount},
+        run_bounds::RunBounds,
     },
     config_state::ControlGroup,
     entry_node::CallNumber,
@@ -196,6 +197,7 @@
             weight: 100,
             controls: Vec::new(),
             off_rack_milli: plan.off_rack_milli,
+            bounds: RunBounds::default(),
         };
         let mut world = LoadWorld {
             outcomes: IndexMap::new(),
--- a/testutils/tests/test_cell_world.rs
+++ b/testutils/tests/test_cell_world.rs
@@ -116,3 +116,14 @@
 fn start_that_was_forgotten() {
     check(380, &CellPlan::default());
 }
+
+/// Guards against second copies beside first ones: leaders are killed, and their successors stand
+/// still soon after. The seeds failed while each leader granted runs without a job more time.
+#[test]
+fn successors_that_freeze() {
+    for (seed, n_faults) in [(394, 3), (91, 8), (1, 3), (2, 3), (3, 3), (4, 3), (5, 3), (6, 3)] {
+        let plan =
+            CellPlan { n_faults, n_jobs: 80, successors_freeze: true, ..CellPlan::default() };
+        check(seed, &plan);
+    }
+}
