control: a majority of the seeds with a record bootstraps the group

The group began only when all three seeds looked for it.

A seed now stores a record at its first start: its own id in the place of the vote while there is no generation, so files of former versions are read as before. The record ends with the first log.

--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -139,13 +139,8 @@
         let centre = own.centre.clone();
         let (group_vms, bootstrap_rule) = match &settings.group_rule {
             GroupRule::Static => (settings.layout.with_role(VmRole::Control), BootstrapRule::All),
-            GroupRule::Dynamic { bootstrap_vms, .. }
-                if bootstrap_vms.contains(&settings.owner.vm) =>
-            {
-                (bootstrap_vms.clone(), BootstrapRule::All)
-            }
             GroupRule::Dynamic { bootstrap_vms, .. } => {
-                (bootstrap_vms.clone(), BootstrapRule::Never)
+                (bootstrap_vms.clone(), BootstrapRule::Recorded)
             }
         };
         let replica_settings = ReplicaSettings {
@@ -158,6 +153,7 @@
             clock_skew_ms: 0,
             seed: settings.seed,
         };
+        let is_new = stored.is_none();
         let node = match stored {
             Some((hard, log)) => ReplicaNode::from_stored(replica_settings, hard, log, now),
             None => {
@@ -166,12 +162,18 @@
                 ReplicaNode::new_fresh(replica_settings, id, now)
             }
         };
-        let node = match settings.group_rule {
+        let node = match &settings.group_rule {
             GroupRule::Static => node,
-            GroupRule::Dynamic { .. } => node.with_group_reader(GroupReader {
-                in_command: ConfigState::group_in_command,
-                in_state: ConfigState::group_in_state,
-            }),
+            GroupRule::Dynamic { bootstrap_vms, .. } => {
+                let mut node = node.with_group_reader(GroupReader {
+                    in_command: ConfigState::group_in_command,
+                    in_state: ConfigState::group_in_state,
+                });
+                if is_new && bootstrap_vms.contains(&settings.owner.vm) {
+                    node.permit_bootstrap();
+                }
+                node
+            }
         };
         let functions = StateFunctions {
             initial_state: Box::new(|_| ConfigState::default()),
--- a/lib/src/replica_bootstrap.rs
+++ b/lib/src/replica_bootstrap.rs
@@ -9,6 +9,13 @@
 //! votes starts the generation: the VMs left to any older one are too few for its
 //! quorum, which is a majority of the configured VMs. So two generations never commit at
 //! the same time. A replica whose vote has no result starts another incarnation.
+//!
+//! Where the state is on disk, a majority of VMs bootstraps only if each has a record that it
+//! may. The record is made at the first start and ends with the first log that the VM stores. It
+//! survives a vote without a result, but only for a higher generation. So of two generations
+//! that were bootstrapped, the lower one has committed nothing and never will: a VM of both
+//! majorities had no log of the lower one when it voted for the other, and no longer has the id
+//! that could acknowledge one.
 
 use indexmap::IndexSet;
 
@@ -19,6 +26,8 @@
     replica_node::{BootstrapRule, FreshPeer, PeerProgress, ReplicaNode, ReplicaRole},
 };
 
+/// Index of the snapshot with which a generation begins.
+const BOOTSTRAP_INDEX: u64 = 1;
 /// Time for which a replica looks for a group before it bootstraps one, in election timeouts.
 const BOOTSTRAP_DELAY_ELECTIONS: u64 = 3;
 /// Further delay for each VM without state listed before this one, in election timeouts.
@@ -27,6 +36,12 @@
 const ABANDON_ELECTIONS: u64 = 8;
 /// Time without a leader after which the other VMs are told, in election timeouts.
 const LEADER_LOST_ELECTIONS: u64 = 4;
+/// Time without state after which a recorded majority need not wait for the other VMs, in
+/// election timeouts.
+const MAJORITY_DELAY_ELECTIONS: u64 = 4;
+/// Time for which a bootstrap waits for the votes of all VMs before a recorded majority is
+/// enough, in election timeouts.
+const MAJORITY_VOTE_ELECTIONS: u64 = 1;
 /// Time for which a VM without state counts after its last message, in election timeouts.
 const FRESH_PEER_ELECTIONS: u64 = 2;
 
@@ -37,6 +52,8 @@
         if self.role == ReplicaRole::Pledged {
             if self.settings.election_ms * ABANDON_ELECTIONS <= in_role_ms {
                 self.start_new_incarnation(now);
+            } else if self.settings.bootstrap_rule == BootstrapRule::Recorded {
+                self.repeat_bootstrap_request(now);
             }
             return;
         }
@@ -67,18 +84,35 @@
         fresh.count() as u64
     }
 
-    fn may_bootstrap(&self, now: ClockTime) -> bool {
-        let n_needed = match self.settings.bootstrap_rule {
+    /// VMs that a bootstrap needs now: without state to begin with, then with their votes.
+    fn n_bootstrap_vms(&self, now: ClockTime) -> usize {
+        match self.settings.bootstrap_rule {
             BootstrapRule::Majority => self.quorum(),
             BootstrapRule::All => self.vms().len(),
-            BootstrapRule::Never => usize::MAX,
-        };
+            BootstrapRule::Recorded if self.hard.may_bootstrap() => {
+                let n_elections = match self.role {
+                    ReplicaRole::Pledged => MAJORITY_VOTE_ELECTIONS,
+                    _ => MAJORITY_DELAY_ELECTIONS,
+                };
+                let delay_ms = self.settings.election_ms * n_elections;
+                let had_time = delay_ms <= now.since_ms(self.role_since);
+                if had_time { self.quorum() } else { self.vms().len() }
+            }
+            BootstrapRule::Recorded | BootstrapRule::Never => usize::MAX,
+        }
+    }
+
+    fn may_bootstrap(&self, now: ClockTime) -> bool {
+        let n_needed = self.n_bootstrap_vms(now);
         let is_member = self.vms().contains(&self.hard.id.vm);
         is_member && !self.is_witness_vm(&self.hard.id.vm) && n_needed <= self.n_fresh_vms(now) + 1
     }
 
     fn request_bootstrap_votes(&mut self, now: ClockTime) {
-        let generation = GenerationId(now.0.max(self.hard.id.incarnation));
+        // No VM votes for a generation below its incarnation, and clocks differ.
+        let peers = self.fresh_peers.values().map(|it| it.id.incarnation);
+        let newest = peers.max().unwrap_or(0).max(self.hard.id.incarnation);
+        let generation = GenerationId(now.0.max(newest));
         self.hard.bootstrap_vote = Some(generation);
         self.save_hard_state();
         self.set_role(ReplicaRole::Pledged, now);
@@ -88,6 +122,19 @@
         self.bootstrap_with_quorum(now);
     }
 
+    /// Asks again for votes that may be lost, and counts those that came.
+    fn repeat_bootstrap_request(&mut self, now: ClockTime) {
+        let Some(generation) = self.hard.bootstrap_vote else { return };
+        if !self.bootstrap_votes.contains_key(&self.hard.id) {
+            return;
+        }
+        if self.heartbeat_at <= now {
+            self.heartbeat_at = now.plus_ms(self.settings.heartbeat_ms);
+            self.send_to_vms(&ReplicaBody::BootstrapVoteRequest(generation));
+        }
+        self.bootstrap_with_quorum(now);
+    }
+
     /// Votes for a bootstrap unless this incarnation has voted or joined a generation.
     pub(crate) fn handle_bootstrap_vote_request(
         &mut self,
@@ -95,6 +142,19 @@
         generation: GenerationId,
         now: ClockTime,
     ) {
+        if self.settings.bootstrap_rule == BootstrapRule::Never {
+            return;
+        }
+        if self.settings.bootstrap_rule == BootstrapRule::Recorded {
+            let has_voted =
+                self.role == ReplicaRole::Pledged && self.hard.bootstrap_vote == Some(generation);
+            if has_voted {
+                self.send(&from, ReplicaBody::BootstrapVoteResponse(generation, now));
+            }
+            if !self.hard.may_bootstrap() || generation.0 < self.hard.id.incarnation {
+                return;
+            }
+        }
         if self.role != ReplicaRole::Fresh {
             return;
         }
@@ -123,17 +183,19 @@
         {
             return;
         }
+        // After a standstill, the others may have started new incarnations since they voted.
+        let limit_ms = self.settings.election_ms * ABANDON_ELECTIONS;
+        if self.settings.bootstrap_rule == BootstrapRule::Recorded
+            && limit_ms <= now.since_ms(self.role_since)
+        {
+            return;
+        }
         self.bootstrap_votes.insert(from, clock);
         self.bootstrap_with_quorum(now);
     }
 
     fn bootstrap_with_quorum(&mut self, now: ClockTime) {
-        let n_needed = match self.settings.bootstrap_rule {
-            BootstrapRule::Majority => self.quorum(),
-            BootstrapRule::All => self.vms().len(),
-            BootstrapRule::Never => usize::MAX,
-        };
-        if self.bootstrap_votes.len() < n_needed {
+        if self.bootstrap_votes.len() < self.n_bootstrap_vms(now) {
             return;
         }
         let voters: IndexSet<ReplicaId> = self.bootstrap_votes.keys().cloned().collect();
@@ -144,7 +206,8 @@
         self.hard.term = 1;
         self.hard.vote = Some(self.hard.id.clone());
         self.save_hard_state();
-        self.restore(LogSnapshot { index: 1, term: 1, voters, fence, state: Vec::new() });
+        let index = BOOTSTRAP_INDEX;
+        self.restore(LogSnapshot { index, term: 1, voters, fence, state: Vec::new() });
         self.become_leader(now);
         for progress in self.progress.values_mut() {
             progress.next = 1;
@@ -224,17 +287,41 @@
         }
         let is_from_leader =
             matches!(message.body, ReplicaBody::Append { .. } | ReplicaBody::Install(_));
-        if !is_from_leader {
-            return false;
-        }
         match self.hard.generation {
-            None => self.join_generation(generation, now),
-            Some(own) => {
-                if own < generation && self.settings.bootstrap_rule == BootstrapRule::Majority {
-                    self.start_new_incarnation(now);
-                }
+            None if self.may_join_by(&message.body, generation) => {
+                self.join_generation(generation, now)
+            }
+            Some(own) if is_from_leader && own < generation && self.may_abandon_generation() => {
+                self.start_new_incarnation(now);
                 false
             }
+            None | Some(_) => false,
+        }
+    }
+
+    /// Whether a message makes a replica without state join its sender's generation.
+    fn may_join_by(&self, body: &ReplicaBody, generation: GenerationId) -> bool {
+        let is_recorded = self.settings.bootstrap_rule == BootstrapRule::Recorded;
+        match body {
+            ReplicaBody::Install(_) => true,
+            // The record that allows a bootstrap ends with the first log, not before it.
+            ReplicaBody::Append { .. } => !is_recorded,
+            // The leader may be lost before its log has reached all who voted for it.
+            ReplicaBody::VoteRequest(..) => {
+                is_recorded && self.hard.bootstrap_vote == Some(generation)
+            }
+            _ => false,
+        }
+    }
+
+    /// Whether a replica may forget a generation once a higher one is known to have a leader.
+    fn may_abandon_generation(&self) -> bool {
+        match self.settings.bootstrap_rule {
+            BootstrapRule::Majority => true,
+            BootstrapRule::Recorded => {
+                self.commit <= BOOTSTRAP_INDEX && self.log.snapshot().index <= BOOTSTRAP_INDEX
+            }
+            BootstrapRule::All | BootstrapRule::Never => false,
         }
     }
 
@@ -307,7 +394,9 @@
                 let is_voter = self.voters().contains(&self.hard.id);
                 !is_voter || self.quorum() <= self.n_fresh_vms(now)
             }
-            BootstrapRule::All | BootstrapRule::Never => !self.voters().contains(&self.hard.id),
+            BootstrapRule::All | BootstrapRule::Recorded | BootstrapRule::Never => {
+                !self.voters().contains(&self.hard.id)
+            }
         }
     }
 }
--- a/lib/src/replica_effect.rs
+++ b/lib/src/replica_effect.rs
@@ -22,12 +22,22 @@
     pub bootstrap_vote: Option<GenerationId>,
     /// Latest term seen.
     pub term: u64,
-    /// Candidate voted for in that term.
+    /// Candidate voted for in that term. Before the replica belongs to a generation, its own id
+    /// if this VM was started to bootstrap the group and has stored no log of one since.
     pub vote: Option<ReplicaId>,
     /// VMs of the group, as last changed; empty where they are given at each start.
     pub vms: Vec<VmName>,
 }
 
+impl HardState {
+    /// Whether this is a record that the VM may bootstrap its group.
+    ///
+    /// An empty disk has no such record: what it lost may have been a vote.
+    pub fn may_bootstrap(&self) -> bool {
+        self.generation.is_none() && self.vote.as_ref() == Some(&self.id)
+    }
+}
+
 /// A change to the durable state.
 #[derive(Data!)]
 pub enum StoreEffect {
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -33,6 +33,9 @@
     Majority,
     /// Every VM: for state on disk, which a bootstrap must never replace.
     All,
+    /// Every VM or, after a while, a majority, of which each has a record on disk that it may
+    /// bootstrap the group; see [`ReplicaNode::permit_bootstrap`].
+    Recorded,
     /// None: the group exists, and this VM can only join it.
     Never,
 }
@@ -309,9 +312,20 @@
         }
     }
 
+    /// Records that this VM may bootstrap its group, at its first start.
+    pub fn permit_bootstrap(&mut self) {
+        self.hard.vote = Some(self.hard.id.clone());
+        self.save_hard_state();
+    }
+
     /// Keeps this replica from a bootstrap, as its group is known to exist.
     pub fn forbid_bootstrap(&mut self) {
-        self.settings.bootstrap_rule = BootstrapRule::Never;
+        if self.settings.bootstrap_rule != BootstrapRule::Recorded {
+            self.settings.bootstrap_rule = BootstrapRule::Never;
+        } else if self.hard.may_bootstrap() {
+            self.hard.vote = None;
+            self.save_hard_state();
+        }
     }
 
     /// Whether this replica may append a change of the group or of its voters.
@@ -517,8 +531,11 @@
 
     /// Discards all state and starts another incarnation under a new id.
     pub(crate) fn start_new_incarnation(&mut self, now: ClockTime) {
-        let incarnation = now.0.max(self.hard.id.incarnation + 1);
+        // Above the generation voted for, as votes of one VM must be for rising generations.
+        let pledged = self.hard.bootstrap_vote.map_or(0, |it| it.0);
+        let incarnation = now.0.max(self.hard.id.incarnation.max(pledged) + 1);
         let id = ReplicaId { vm: self.hard.id.vm.clone(), incarnation };
+        let may_bootstrap = self.hard.may_bootstrap();
         let mut vms = std::mem::take(&mut self.hard.vms);
         if let Some(known) = self.log_vms.take() {
             self.settings.vms.clone_from(&known);
@@ -531,7 +548,7 @@
             generation: None,
             bootstrap_vote: None,
             term: 0,
-            vote: None,
+            vote: may_bootstrap.then(|| id.clone()),
             vms,
         };
         self.log = ReplicaLog::default();
--- a/lib/tests/test_control_restart/main.rs
+++ b/lib/tests/test_control_restart/main.rs
@@ -4,6 +4,7 @@
 //! the VM that took it says so; from then on no VM may read an older version. No two VMs may
 //! lead in one term.
 
+mod bootstrap;
 mod membership;
 mod series;
 mod world;
--- a/lib/tests/test_control_restart/series.rs
+++ b/lib/tests/test_control_restart/series.rs
@@ -3,10 +3,13 @@
 use rand::RngExt;
 use yuccamux::prelude::*;
 
-use crate::world::{CATCH_UP_MS, RECOVERY_MS, World, vm};
+use crate::{
+    bootstrap::run_first_start,
+    world::{CATCH_UP_MS, RECOVERY_MS, World, vm},
+};
 
 /// Randomised runs in CI.
-const SEEDS_IN_CI: u64 = 12;
+pub(crate) const SEEDS_IN_CI: u64 = 12;
 /// Time from the signal to stop to the end of the process.
 const STOP_MS: u64 = 800;
 
@@ -62,7 +65,7 @@
     }
 
     /// With all VMs up, all of them become members, and all of them read what was acknowledged.
-    fn check_whole(&mut self) {
+    pub(crate) fn check_whole(&mut self) {
         self.loses_one_in = u64::MAX;
         self.run_ms(RECOVERY_MS);
         assert!(self.leader().is_some(), "nobody leads");
@@ -260,6 +263,10 @@
             println!("seed {seed} is broken");
             n_broken += 1;
         }
+        if std::panic::catch_unwind(|| run_first_start(seed)).is_err() {
+            println!("the first start of seed {seed} is broken");
+            n_broken += 1;
+        }
         if (seed + 1).is_multiple_of(50) {
             println!("{} seeds, {n_broken} broken", seed + 1 - first);
         }
--- a/lib/tests/test_control_restart/world.rs
+++ b/lib/tests/test_control_restart/world.rs
@@ -26,6 +26,8 @@
 pub(crate) const RECOVERY_MS: u64 = 5_000;
 /// Time from which on a VM that has started counts as caught up: `catch_up_s` of the small site.
 pub(crate) const CATCH_UP_MS: u64 = 4_000;
+/// Index of the snapshot that a bootstrap makes.
+const BOOTSTRAP_INDEX: u64 = 1;
 /// Log entries after which a snapshot is due, and a few more.
 pub(crate) const PUTS_PAST_A_SNAPSHOT: usize = 40;
 
@@ -73,6 +75,10 @@
     pub(crate) waiting: BTreeMap<(ClockTime, u64), (VmName, VmName, Wire)>,
     pub(crate) n_sent: u64,
     pub(crate) loses_one_in: u64,
+    /// VMs whose processes stand still; what is sent to them waits.
+    pub(crate) frozen: BTreeSet<VmName>,
+    /// VMs of which nothing arrives.
+    pub(crate) mute: BTreeSet<VmName>,
     /// VMs that get datagrams but no messages.
     pub(crate) deaf: BTreeSet<VmName>,
     pub(crate) calls: IndexMap<(VmName, u64), Call>,
@@ -80,8 +86,10 @@
     pub(crate) next_version: u64,
     pub(crate) acknowledged: u64,
     pub(crate) n_read: usize,
-    /// Leaders by term.
-    pub(crate) leaders: BTreeMap<u64, ReplicaId>,
+    /// Leaders by generation and term.
+    pub(crate) leaders: BTreeMap<(GenerationId, u64), ReplicaId>,
+    /// The only generation in which an entry was committed.
+    pub(crate) committed_generation: Option<GenerationId>,
 }
 
 pub(crate) fn vm(number: usize) -> VmName {
@@ -91,7 +99,18 @@
 impl World {
     /// Three VMs that bootstrap the group, with a leader.
     pub(crate) fn new(n_wanted: usize, seed: u64) -> World {
-        let mut world = World {
+        let mut world = World::empty(n_wanted, seed);
+        for number in 1..=3 {
+            world.start_first(&vm(number), 3);
+        }
+        world.run_ms(5_000);
+        assert_eq!(world.members(), (1..=3).map(vm).collect::<Vec<_>>());
+        world
+    }
+
+    /// No VM was started yet.
+    pub(crate) fn empty(n_wanted: usize, seed: u64) -> World {
+        World {
             now: ClockTime(1_000_000),
             n_wanted,
             last_number: 5,
@@ -101,6 +120,8 @@
             waiting: BTreeMap::new(),
             n_sent: 0,
             loses_one_in: u64::MAX,
+            frozen: BTreeSet::new(),
+            mute: BTreeSet::new(),
             deaf: BTreeSet::new(),
             calls: IndexMap::new(),
             next_call: 0,
@@ -108,13 +129,13 @@
             acknowledged: 0,
             n_read: 0,
             leaders: BTreeMap::new(),
-        };
-        for number in 1..=3 {
-            world.start_with(&vm(number), (1..=3).map(vm).collect());
+            committed_generation: None,
         }
-        world.run_ms(5_000);
-        assert_eq!(world.members(), (1..=3).map(vm).collect::<Vec<_>>());
-        world
+    }
+
+    /// Starts one of the first VMs, which bootstrap the group, for the first time.
+    pub(crate) fn start_first(&mut self, name: &VmName, n_seeds: usize) {
+        self.start_with(name, (1..=n_seeds).map(vm).collect());
     }
 
     pub(crate) fn start_with(&mut self, name: &VmName, bootstrap_vms: Vec<VmName>) {
@@ -151,6 +172,7 @@
     /// Ends a VM's process without a word.
     pub(crate) fn kill(&mut self, name: &VmName) {
         self.nodes.remove(name);
+        self.frozen.remove(name);
         self.calls.retain(|(vm, _), _| vm != name);
     }
 
@@ -187,7 +209,12 @@
             if self.now < entry.key().0 {
                 break;
             }
-            let (from, to, wire) = entry.remove();
+            let (key, (from, to, wire)) = entry.remove_entry();
+            if self.frozen.contains(&to) {
+                let later = (self.now.plus_ms(STEP_MS), key.1);
+                self.waiting.insert(later, (from, to, wire));
+                continue;
+            }
             if self.deaf.contains(&to) && matches!(wire, Wire::Message(_)) {
                 continue;
             }
@@ -198,7 +225,8 @@
             }
             self.run_effects(&to);
         }
-        for name in self.nodes.keys().cloned().collect::<Vec<_>>() {
+        let running = self.nodes.keys().filter(|it| !self.frozen.contains(*it));
+        for name in running.cloned().collect::<Vec<_>>() {
             self.nodes.get_mut(&name).unwrap().tick(self.now);
             self.run_effects(&name);
         }
@@ -242,15 +270,21 @@
             }
         }
         let node = self.nodes[name].node();
+        let Some(generation) = node.generation() else { return };
         if node.role() == ReplicaRole::Leader {
-            let leader = self.leaders.entry(node.term()).or_insert_with(|| node.id().clone());
-            assert_eq!(leader, node.id(), "two leaders in term {}", node.term());
+            let term = (generation, node.term());
+            let leader = self.leaders.entry(term).or_insert_with(|| node.id().clone());
+            assert_eq!(leader, node.id(), "two leaders in {term:?}");
+        }
+        if BOOTSTRAP_INDEX < node.commit_index() {
+            let committed = *self.committed_generation.get_or_insert(generation);
+            assert_eq!(committed, generation, "two groups have committed");
         }
     }
 
     pub(crate) fn send(&mut self, from: &VmName, to: &VmName, wire: Wire) {
         self.n_sent += 1;
-        if self.n_sent.is_multiple_of(self.loses_one_in) {
+        if self.n_sent.is_multiple_of(self.loses_one_in) || self.mute.contains(from) {
             return;
         }
         let due_at = self.now.plus_ms(self.n_sent * 7 % 25);
--- a/lib/tests/test_replica_log.rs
+++ b/lib/tests/test_replica_log.rs
@@ -65,7 +65,9 @@
         witness: None,
         bootstrap_rule: rule,
         snapshot_rule: match rule {
-            BootstrapRule::All | BootstrapRule::Never => SnapshotRule::Kept,
+            BootstrapRule::All | BootstrapRule::Recorded | BootstrapRule::Never => {
+                SnapshotRule::Kept
+            }
             BootstrapRule::Majority => SnapshotRule::OnDemand,
         },
         election_ms: ELECTION_MS,
@@ -128,7 +130,7 @@
                 for idx in 0..n_vms {
                     if self.nodes[idx].role() == ReplicaRole::Leader {
                         match self.rule {
-                            BootstrapRule::All | BootstrapRule::Never => {
+                            BootstrapRule::All | BootstrapRule::Recorded | BootstrapRule::Never => {
                                 self.nodes[idx].compact(vec![1])
                             }
                             BootstrapRule::Majority => self.nodes[idx].trim(2),
