control: an alarm where the control group bears too few losses

A group that stays at two voters for three VMs was seen by nobody until the next loss ended it. Each control VM now watches the group: the leader counts the voters that answer it, a replica without a leader and a VM without a group tell for themselves. After 8 s, in which a group with a spare is whole again, it warns once with the reason and sets yuccamux_control_tolerance_short; a line tells when it is over.

missing_tolerance_raises_an_alarm and group_without_a_leader_raises_an_alarm guard against silence and against an alarm from every VM; there was nothing to fail before, as the alarm is new.

--- a/adapters/src/control_http.rs
+++ b/adapters/src/control_http.rs
@@ -95,6 +95,8 @@
         ("yuccamux_control_message_losses", status.n_losses),
         ("yuccamux_control_endpoint_updates_repeated", status.n_repeated),
         ("yuccamux_control_voters", status.voters.len() as u64),
+        ("yuccamux_control_tolerance_short", u64::from(status.is_tolerance_short)),
+        ("yuccamux_control_tolerance_alarms", status.n_alarms),
     ];
     let mut text = String::new();
     for (name, value) in lines {
--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -4,10 +4,13 @@
 
 use anyhow::Context;
 use indexmap::IndexMap;
-use log::{error, info};
+use log::{error, info, warn};
 use tokio::sync::{mpsc, oneshot};
 use yuccamux::{
-    cell::endpoint_directory::{DirectoryChange, EndpointRecord},
+    cell::{
+        endpoint_directory::{DirectoryChange, EndpointRecord},
+        tolerance_watch::{GroupHealth, ToleranceChange},
+    },
     config_state::{ChangeRecord, ConfigChange, ConfigImage, ConfigState, StoredPlan},
     control_node::{ControlEffect, ControlNode, ControlSettings},
     entry_node::CallNumber,
@@ -82,6 +85,10 @@
     pub n_losses: u64,
     /// Endpoint updates sent to VMs that may have lacked them.
     pub n_repeated: u64,
+    /// How often the group bore fewer losses than it should for longer than it may.
+    pub n_alarms: u64,
+    /// Whether it does now.
+    pub is_tolerance_short: bool,
     /// Other VMs with the time since their last heartbeat, in ms, and their configuration
     /// version.
     pub peers: Vec<(String, u64, u64)>,
@@ -212,6 +219,7 @@
             next_call: 0,
             n_losses: 0,
             n_repeated: 0,
+            n_alarms: 0,
         };
         async move {
             if let Err(error) = host.run(ThreadInbox::new(inputs, peer_inputs, TICK)).await {
@@ -242,6 +250,7 @@
     next_call: u64,
     n_losses: u64,
     n_repeated: u64,
+    n_alarms: u64,
 }
 
 impl ServiceHost {
@@ -374,6 +383,7 @@
                         );
                     }
                 }
+                ControlEffect::ToleranceChanged(change) => self.log_tolerance(change),
                 ControlEffect::RoleChanged(role) => info!("configuration log: role {role:?}"),
                 ControlEffect::Version(version) => {
                     info!("configuration version {version} accepted")
@@ -383,6 +393,26 @@
         Ok(())
     }
 
+    fn log_tolerance(&mut self, change: ToleranceChange) {
+        let health = match change {
+            ToleranceChange::Regained(after_ms) => {
+                info!("the control group bears its losses again, after {after_ms} ms");
+                return;
+            }
+            ToleranceChange::Short(health) => health,
+        };
+        self.n_alarms += 1;
+        let reason = match health {
+            GroupHealth::Sound => return,
+            GroupHealth::FewVoters(n_voters, n_vms) => {
+                format!("{n_voters} voters answer in a group of {n_vms} VMs")
+            }
+            GroupHealth::NoLeader => "this VM hears no leader".to_owned(),
+            GroupHealth::NoGroup => "this VM knows of no group".to_owned(),
+        };
+        warn!("the control group bears fewer losses than it should: {reason}");
+    }
+
     fn status(&self) -> ServiceStatus {
         let node = self.node.node();
         let now = self.clock.now();
@@ -404,6 +434,8 @@
             sent: self.link.sent(),
             n_losses: self.n_losses,
             n_repeated: self.n_repeated,
+            n_alarms: self.n_alarms,
+            is_tolerance_short: self.node.is_tolerance_alarmed(),
             peers: peers.collect(),
         }
     }
--- a/lib/src/control_membership.rs
+++ b/lib/src/control_membership.rs
@@ -5,7 +5,10 @@
 //! votes: both only look at what the log holds, never at who began the change.
 
 use crate::{
-    cell::control_group::{self, GroupCandidate},
+    cell::{
+        control_group::{self, GroupCandidate},
+        tolerance_watch::GroupHealth,
+    },
     config_state::{ConfigCommand, ConfigState, ControlGroup},
     control_node::{ControlNode, GroupRule},
     log_group::ProposalWaiter,
@@ -129,6 +132,37 @@
         candidates
     }
 
+    /// What this VM sees of the group's tolerance; a VM with a leader leaves that to it.
+    pub(crate) fn group_health(&self, now: ClockTime) -> GroupHealth {
+        let node = self.node();
+        match node.role() {
+            ReplicaRole::Leader => {
+                let n_vms = node.vms().len();
+                let n_wanted = match self.settings.group_rule {
+                    GroupRule::Static => n_vms,
+                    GroupRule::Dynamic { n_wanted, .. } => n_wanted,
+                };
+                let n_voters = node.n_responding_voters(now);
+                let n_needed = node.quorum() + (n_wanted - 1) / 2;
+                if n_needed <= n_voters {
+                    return GroupHealth::Sound;
+                }
+                GroupHealth::FewVoters(n_voters, n_vms)
+            }
+            ReplicaRole::Fresh | ReplicaRole::Pledged if self.announced_group == 0 => {
+                GroupHealth::NoGroup
+            }
+            // The leader of the group that was announced tells of this VM.
+            ReplicaRole::Fresh | ReplicaRole::Pledged => GroupHealth::Sound,
+            ReplicaRole::Follower | ReplicaRole::PreCandidate | ReplicaRole::Candidate => {
+                match node.leader_vm() {
+                    Some(_) => GroupHealth::Sound,
+                    None => GroupHealth::NoLeader,
+                }
+            }
+        }
+    }
+
     /// Whether the voters are on exactly the VMs of the group.
     fn voters_match_vms(&self) -> bool {
         let voters = self.node().voters();
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -11,6 +11,7 @@
         cell_message::{CellHeartbeat, CellMessage},
         endpoint_directory::{DirectoryChange, EndpointRecord},
         membership_service::MembershipService,
+        tolerance_watch::{ToleranceChange, ToleranceWatch},
     },
     config_state::{
         ConfigAnswer, ConfigChange, ConfigCommand, ConfigImage, ConfigState, StoredPlan,
@@ -96,6 +97,8 @@
         /// Time from which on the updates were first sent; zero if the VM may lack all.
         since: ClockTime,
     },
+    /// The alarm on the group's tolerance has changed.
+    ToleranceChanged(ToleranceChange),
     /// The role has changed.
     RoleChanged(ReplicaRole),
     /// A configuration version is in force here.
@@ -120,6 +123,7 @@
     pub(crate) announced_group: u64,
     pub(crate) pending_vm: Option<(VmName, ClockTime)>,
     pub(crate) withdrawn_vm: Option<VmName>,
+    pub(crate) tolerance: ToleranceWatch,
     pub(crate) stopping: bool,
     effects: Vec<ControlEffect>,
 }
@@ -191,6 +195,7 @@
             announced_group: 0,
             pending_vm: None,
             withdrawn_vm: None,
+            tolerance: ToleranceWatch::default(),
             stopping: false,
             client: ProposalClient::new(now.0 << 20),
             settings,
@@ -234,6 +239,11 @@
         &self.peers
     }
 
+    /// Whether the group has borne fewer losses than it should for longer than it may.
+    pub fn is_tolerance_alarmed(&self) -> bool {
+        self.tolerance.is_alarmed()
+    }
+
     /// Begins a change; its result is returned as an effect.
     pub fn change(
         &mut self,
@@ -396,6 +406,9 @@
                 GroupRule::Dynamic { .. } => self.send_cell_heartbeats(now),
             }
             self.send_endpoint_updates(now);
+            if let Some(change) = self.tolerance.observe(self.group_health(now), now) {
+                self.effects.push(ControlEffect::ToleranceChanged(change));
+            }
         }
         self.change_group(now);
     }
--- a/lib/src/replica_election.rs
+++ b/lib/src/replica_election.rs
@@ -172,13 +172,17 @@
         self.flush(now);
     }
 
-    /// Steps down when no quorum has responded within an election timeout.
-    pub(crate) fn step_down_without_quorum(&mut self, now: ClockTime) {
-        let n_responding = self.progress.iter().filter(|(id, it)| {
+    /// Voters that answered this leader within an election timeout, and this leader.
+    pub fn n_responding_voters(&self, now: ClockTime) -> usize {
+        let n_others = self.progress.iter().filter(|(id, it)| {
             self.counts(id) && now.since_ms(it.last_contact_at) <= self.settings.election_ms
         });
-        let n_responding = n_responding.count() + usize::from(self.counts(&self.hard.id));
-        if self.quorum() <= n_responding {
+        n_others.count() + usize::from(self.counts(&self.hard.id))
+    }
+
+    /// Steps down when no quorum has responded within an election timeout.
+    pub(crate) fn step_down_without_quorum(&mut self, now: ClockTime) {
+        if self.quorum() <= self.n_responding_voters(now) {
             return;
         }
         self.leader = None;
--- a/lib/tests/test_control_restart/membership.rs
+++ b/lib/tests/test_control_restart/membership.rs
@@ -1,10 +1,8 @@
 //! Changes of the group that meet a second event before the new member votes.
 
-use crate::world::{CATCH_UP_MS, RECOVERY_MS, World, vm};
+use yuccamux::cell::tolerance_watch::{GroupHealth, REGAIN_MS, ToleranceChange};
 
-/// Time in which the group regains its full tolerance after a loss, from when a VM that may
-/// replace the lost one is up.
-const REGAIN_MS: u64 = 8_000;
+use crate::world::{CATCH_UP_MS, RECOVERY_MS, World, vm};
 
 /// Three members and a spare; the third is replaced on a plan, up to when the spare belongs to
 /// the group but does not vote.
@@ -116,3 +114,39 @@
     world.remove(&silent);
     check_single_losses(&mut world);
 }
+
+/// A member is lost and nothing replaces it. Operators must be told that the next loss ends the
+/// group, once, by the leader alone; and that it is over.
+#[test]
+fn missing_tolerance_raises_an_alarm() {
+    let mut world = World::new(3, 11);
+    let lost = vm(if world.leader() == Some(vm(3)) { 2 } else { 3 });
+    world.remove(&lost);
+    world.run_ms(REGAIN_MS - 1_000);
+    assert_eq!(world.alarms, []);
+    world.run_ms(2_500);
+    let leader = world.leader().unwrap();
+    let short = ToleranceChange::Short(GroupHealth::FewVoters(2, 3));
+    assert_eq!(world.alarms, [(leader.clone(), short)]);
+    world.start(&vm(4));
+    world.run_ms(REGAIN_MS);
+    let [_, (by, ToleranceChange::Regained(after_ms))] = &world.alarms[..] else {
+        panic!("{:?}", world.alarms)
+    };
+    assert_eq!(*by, leader);
+    assert!((REGAIN_MS..2 * REGAIN_MS).contains(after_ms), "after {after_ms} ms");
+}
+
+/// Without a majority nobody leads, and each VM that is left must tell.
+#[test]
+fn group_without_a_leader_raises_an_alarm() {
+    let mut world = World::new(3, 12);
+    world.kill(&vm(1));
+    world.kill(&vm(2));
+    world.run_ms(REGAIN_MS + 3_000);
+    assert_eq!(world.alarms, [(vm(3), ToleranceChange::Short(GroupHealth::NoLeader))]);
+    let mut world = World::empty(3, 13);
+    world.start_first(&vm(1), 3);
+    world.run_ms(REGAIN_MS + 3_000);
+    assert_eq!(world.alarms, [(vm(1), ToleranceChange::Short(GroupHealth::NoGroup))]);
+}
--- a/lib/tests/test_control_restart/world.rs
+++ b/lib/tests/test_control_restart/world.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use yuccamux::{
-    cell::route_plan::RoutePlan,
+    cell::{route_plan::RoutePlan, tolerance_watch::ToleranceChange},
     config_state::StoredPlan,
     control_node::{ControlEffect, ControlNode, ControlSettings, GroupRule},
     entry_node::CallNumber,
@@ -77,6 +77,8 @@
     pub(crate) loses_one_in: u64,
     /// VMs whose processes stand still; what is sent to them waits.
     pub(crate) frozen: BTreeSet<VmName>,
+    /// Changes of the alarm on the group's tolerance, with the VM that raised it.
+    pub(crate) alarms: Vec<(VmName, ToleranceChange)>,
     /// VMs of which nothing arrives.
     pub(crate) mute: BTreeSet<VmName>,
     /// VMs that get datagrams but no messages.
@@ -121,6 +123,7 @@
             n_sent: 0,
             loses_one_in: u64::MAX,
             frozen: BTreeSet::new(),
+            alarms: Vec::new(),
             mute: BTreeSet::new(),
             deaf: BTreeSet::new(),
             calls: IndexMap::new(),
@@ -264,6 +267,9 @@
                         self.n_read += 1;
                     }
                 }
+                ControlEffect::ToleranceChanged(it) => {
+                    self.alarms.push((name.clone(), it));
+                }
                 ControlEffect::RoleChanged(_)
                 | ControlEffect::Version(_)
                 | ControlEffect::EndpointsRepeated { .. } => {}
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -396,6 +396,7 @@
                 | ControlEffect::RoleChanged(_)
                 | ControlEffect::Version(_)
                 | ControlEffect::EndpointsRepeated { .. }
+                | ControlEffect::ToleranceChanged(_)
                 | ControlEffect::AnswerPlanRead(..)
                 | ControlEffect::SendCellHeartbeat(..) => {}
             }
