--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -48,3 +48,4 @@
 pub mod run_forecast;
 pub mod run_proof;
 mod straggler_check;
+pub mod tolerance_watch;
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -33,6 +33,9 @@
     Majority,
     /// Every VM: for state on disk, which a bootstrap must never replace.
     All,
+    /// Every VM or, after a while, a majority, of which each has a record on disk that it may
+    /// bootstrap the group; see [`ReplicaNode::permit_bootstrap`].
+    Recorded,
     /// None: the group exists, and this VM can only join it.
     Never,
 }
@@ -148,6 +151,8 @@
     pub(crate) bootstrap_votes: IndexMap<ReplicaId, ClockTime>,
     pub(crate) progress: IndexMap<ReplicaId, PeerProgress>,
     pub(crate) fresh_peers: IndexMap<VmName, FreshPeer>,
+    /// VMs outside the known group that may have a leader.
+    contacts: Vec<VmName>,
     pub(crate) effects: Vec<ReplicaEffect>,
     rng: ChaCha8Rng,
 }
@@ -212,6 +217,7 @@
             bootstrap_votes: IndexMap::new(),
             progress: IndexMap::new(),
             fresh_peers: IndexMap::new(),
+            contacts: Vec::new(),
             effects,
             rng,
         };
@@ -299,9 +305,27 @@
         }
     }
 
+    /// Sets further VMs to ask for a leader, where the log may name a former group.
+    pub fn set_contacts(&mut self, vms: &[VmName]) {
+        if self.contacts != vms {
+            self.contacts = vms.to_vec();
+        }
+    }
+
+    /// Records that this VM may bootstrap its group, at its first start.
+    pub fn permit_bootstrap(&mut self) {
+        self.hard.vote = Some(self.hard.id.clone());
+        self.save_hard_state();
+    }
+
     /// Keeps this replica from a bootstrap, as its group is known to exist.
     pub fn forbid_bootstrap(&mut self) {
-        self.settings.bootstrap_rule = BootstrapRule::Never;
+        if self.settings.bootstrap_rule != BootstrapRule::Recorded {
+            self.settings.bootstrap_rule = BootstrapRule::Never;
+        } else if self.hard.may_bootstrap() {
+            self.hard.vote = None;
+            self.save_hard_state();
+        }
     }
 
     /// Whether this replica may append a change of the group or of its voters.
@@ -379,6 +403,13 @@
         responding.map(|(id, _)| id.vm.clone()).collect()
     }
 
+    /// Time since the voter on a VM last answered this leader, in ms; zero where none is known.
+    pub fn voter_silent_ms(&self, vm: &VmName, now: ClockTime) -> u64 {
+        let voter = self.voters().iter().find(|it| it.vm == *vm);
+        let progress = voter.and_then(|it| self.progress.get(it));
+        progress.map_or(0, |it| now.since_ms(it.last_contact_at))
+    }
+
     /// Drains the effects since the last call, in order.
     pub fn drain_effects(&mut self) -> Vec<ReplicaEffect> {
         std::mem::take(&mut self.effects)
@@ -500,8 +531,11 @@
 
     /// Discards all state and starts another incarnation under a new id.
     pub(crate) fn start_new_incarnation(&mut self, now: ClockTime) {
-        let incarnation = now.0.max(self.hard.id.incarnation + 1);
+        // Above the generation voted for, as votes of one VM must be for rising generations.
+        let pledged = self.hard.bootstrap_vote.map_or(0, |it| it.0);
+        let incarnation = now.0.max(self.hard.id.incarnation.max(pledged) + 1);
         let id = ReplicaId { vm: self.hard.id.vm.clone(), incarnation };
+        let may_bootstrap = self.hard.may_bootstrap();
         let mut vms = std::mem::take(&mut self.hard.vms);
         if let Some(known) = self.log_vms.take() {
             self.settings.vms.clone_from(&known);
@@ -514,7 +548,7 @@
             generation: None,
             bootstrap_vote: None,
             term: 0,
-            vote: None,
+            vote: may_bootstrap.then(|| id.clone()),
             vms,
         };
         self.log = ReplicaLog::default();
@@ -567,7 +601,20 @@
 
     /// Sends to whatever replica runs on each other VM.
     pub(crate) fn send_to_vms(&mut self, body: &ReplicaBody) {
-        for vm in self.vms().to_vec() {
+        self.send_to(self.vms().to_vec(), body);
+    }
+
+    /// Sends to whatever replica runs on each VM of the group and on each contact.
+    pub(crate) fn send_to_contacts(&mut self, body: &ReplicaBody) {
+        let mut vms = self.vms().to_vec();
+        vms.extend(
+            self.contacts.iter().filter(|it| !vms.contains(it)).cloned().collect::<Vec<_>>(),
+        );
+        self.send_to(vms, body);
+    }
+
+    fn send_to(&mut self, vms: Vec<VmName>, body: &ReplicaBody) {
+        for vm in vms {
             if vm != self.hard.id.vm {
                 let message = self.message(None, body.clone());
                 self.effects.push(ReplicaEffect::Send(vm, message));
