http: byte budget and connection guard on every listener

Bodies are copied out of the read buffer and keep to a least rate. The head limits are hyper's max_header_size, max_buf_size and header_read_timeout; max_headers stays at its default of 100, as hyper's documentation puts the cost of a value of one's own at 5% of a request. The header timeout of hyper also ran while a connection was idle and closed it after 5 s; idle connections now have 20 s.

--- a/adapters/src/control_http.rs
+++ b/adapters/src/control_http.rs
@@ -9,6 +9,7 @@
 use crate::{
     api_types::{ChangeAnswer, ChangeBody},
     bearer_guard::BearerGuard,
+    connection_guard::ConnectionGuard,
     control_service::{ServiceHandle, ServiceStatus},
     http_server::{
         CloseConnection, HttpAnswer, HttpRequest, ServerLimits, error_answer, read_body,
@@ -39,7 +40,9 @@
         match (&method, path.as_str()) {
             (&Method::GET, "/healthz") => return Ok(text_answer(StatusCode::OK, "ok\n")),
             (&Method::GET, "/readyz") => return self.ready().await,
-            (&Method::GET, "/metrics") => return Ok(self.metrics().await),
+            (&Method::GET, "/metrics") => {
+                return Ok(self.metrics(request.body().connection().guard()).await);
+            }
             #[cfg(feature = "fault-injection")]
             (&Method::POST, "/faults/cut") => {
                 let body = read_body(request.into_body(), &self.limits).await?;
@@ -68,8 +71,8 @@
         }
     }
 
-    async fn metrics(&self) -> HttpAnswer {
-        metrics_answer(&self.service.status().await)
+    async fn metrics(&self, guard: &ConnectionGuard) -> HttpAnswer {
+        metrics_answer(&self.service.status().await, guard)
     }
 
     async fn change(&self, request: HttpRequest) -> Result<HttpAnswer, RequestError> {
@@ -83,7 +86,7 @@
 }
 
 /// The metrics of a control VM, in the OpenMetrics text form.
-pub fn metrics_answer(status: &ServiceStatus) -> HttpAnswer {
+pub fn metrics_answer(status: &ServiceStatus, guard: &ConnectionGuard) -> HttpAnswer {
     let lines = [
         ("yuccamux_control_config_version", status.config_version),
         ("yuccamux_control_plan_version", status.plan_version),
@@ -96,7 +99,7 @@
         ("yuccamux_control_endpoint_updates_repeated", status.n_repeated),
         ("yuccamux_control_voters", status.voters.len() as u64),
     ];
-    let mut text = String::new();
+    let mut text = guard.encode_metrics();
     for (name, value) in lines {
         text.push_str(&format!("# TYPE {name} gauge\n{name} {value}\n"));
     }
--- a/adapters/src/entry_http.rs
+++ b/adapters/src/entry_http.rs
@@ -22,6 +22,7 @@
 use crate::{
     api_types::{AnnounceAnswer, AnnounceBody, JobAnswer, JobAnswerState, SubmitBody},
     bearer_guard::BearerGuard,
+    connection_guard::ConnectionGuard,
     entry_metrics::SubmissionPhase,
     http_server::{
         CloseConnection, HttpAnswer, HttpRequest, ServerLimits, error_answer, error_body,
@@ -83,7 +84,9 @@
         match (&method, path.as_str()) {
             (&Method::GET, "/healthz") => return Ok(text_answer(StatusCode::OK, "ok\n")),
             (&Method::GET, "/readyz") => return self.ready(),
-            (&Method::GET, "/metrics") => return Ok(self.metrics().await),
+            (&Method::GET, "/metrics") => {
+                return Ok(self.metrics(request.body().connection().guard()).await);
+            }
             (&Method::POST, "/v1/jobs") => {
                 self.settings.callers.check(request.headers())?;
                 return self.submit(request).await;
@@ -133,10 +136,12 @@
         Ok(text_answer(StatusCode::OK, "ready\n"))
     }
 
-    async fn metrics(&self) -> HttpAnswer {
+    async fn metrics(&self, guard: &ConnectionGuard) -> HttpAnswer {
         let status = self.jobs.control().status().await;
         let view = self.jobs.dispatcher_view();
-        text_answer(StatusCode::OK, self.jobs.metrics().encode(&view, &status))
+        // The text of the entry ends with the end mark of the format.
+        let text = guard.encode_metrics() + &self.jobs.metrics().encode(&view, &status);
+        text_answer(StatusCode::OK, text)
     }
 
     async fn submit(&self, request: HttpRequest) -> Result<HttpAnswer, RequestError> {
--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -1,12 +1,15 @@
 //! HTTP server for callers, endpoints and operators, with time limits and graceful shutdown.
 
-use std::{future::Future, time::Duration};
+use std::{
+    future::Future,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
-    body::Incoming,
     header::{CONTENT_TYPE, RETRY_AFTER},
     service::service_fn,
 };
@@ -15,16 +18,26 @@
     server::graceful::GracefulShutdown,
 };
 use serde::Serialize;
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{
+    net::TcpListener,
+    sync::watch,
+    time::{self, MissedTickBehavior},
+};
 use yuccamux::prelude::{ErrorKind, RequestError};
 
-use crate::api_types::{ErrorAnswer, ErrorBody};
+use crate::{
+    api_types::{ErrorAnswer, ErrorBody},
+    connection_guard::{ConnectionGuard, GuardedStream, ListenerGuard, MAX_BUFFER_BYTES},
+    request_body::{AnswerBody, RequestBody},
+};
+
+pub use crate::request_body::{BODY_GRACE, read_body};
 
 /// Response header that states whether the work has run.
 pub const RAN_HEADER: &str = "yuccamux-ran";
 
 /// A request as passed to handlers.
-pub type HttpRequest = Request<Incoming>;
+pub type HttpRequest = Request<RequestBody>;
 /// An answer as returned by handlers.
 pub type HttpAnswer = Response<Full<Bytes>>;
 
@@ -36,12 +49,22 @@
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
-    /// Time limit for the header of a request.
+    /// Time limit for the header of a request, from its first byte.
     pub header_timeout: Duration,
     /// Time limit for the body of a request.
     pub body_timeout: Duration,
+    /// Time after which a connection without a request is closed.
+    pub idle_timeout: Duration,
+    /// Time after which a connection is closed whose client does not read its answer.
+    pub write_timeout: Duration,
+    /// Largest header, in bytes.
+    pub max_header_bytes: usize,
     /// Largest body, in bytes.
     pub max_body_bytes: usize,
+    /// Rate in bytes per second that a body keeps to on average, from [`BODY_GRACE`] on.
+    pub min_body_rate: u64,
+    /// Most open connections of the listener.
+    pub max_connections: usize,
     /// Time that open requests have to end after a stop.
     pub shutdown_timeout: Duration,
 }
@@ -51,16 +74,36 @@
         ServerLimits {
             header_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(5),
+            // Above the 15 s for which a load balancer keeps an idle connection.
+            idle_timeout: Duration::from_secs(20),
+            write_timeout: Duration::from_secs(30),
+            max_header_bytes: 16 << 10,
             max_body_bytes: 8 << 20,
+            min_body_rate: 1_024,
+            max_connections: usize::MAX,
             shutdown_timeout: Duration::from_secs(60),
         }
     }
 }
 
-/// Serves until `stop` turns true, then lets open requests end.
+/// Serves until `stop` turns true, then lets open requests end. The process has one listener.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ServerLimits,
+    stop: watch::Receiver<bool>,
+    handle: H,
+) where
+    H: Fn(HttpRequest) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<HttpAnswer, CloseConnection>> + Send + 'static,
+{
+    serve_guarded(listener, limits, ConnectionGuard::default(), stop, handle).await;
+}
+
+/// Serves as [`serve`], with a guard that the listeners of a process share.
+pub async fn serve_guarded<H, F>(
+    listener: TcpListener,
+    limits: ServerLimits,
+    guard: ConnectionGuard,
     mut stop: watch::Receiver<bool>,
     handle: H,
 ) where
@@ -68,6 +111,9 @@
     F: Future<Output = Result<HttpAnswer, CloseConnection>> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
+    let mut connections = ListenerGuard::new(guard, limits);
+    let mut sweeps = time::interval(connections.sweep_interval());
+    sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -77,20 +123,54 @@
                     continue;
                 }
             },
+            _ = sweeps.tick() => {
+                connections.sweep(Instant::now());
+                continue;
+            }
             () = wait_for_stop(&mut stop) => break,
         };
+        let Some(state) = connections.admit() else { continue };
         let _ = stream.set_nodelay(true);
-        let service = service_fn(handle.clone());
+        let handle = handle.clone();
+        let stream = GuardedStream::new(stream, Arc::clone(&state));
+        let request_state = Arc::clone(&state);
+        let service = service_fn(move |request| {
+            let state = Arc::clone(&request_state);
+            state.begin_request();
+            let body_state = Arc::clone(&state);
+            let handled =
+                handle(request.map(|incoming| RequestBody { incoming, state: body_state }));
+            async move {
+                let answer = handled.await;
+                state.end_request();
+                answer.map(|it| it.map(|body| AnswerBody::new(body, &state)))
+            }
+        });
+        // `max_headers` stays at hyper's default of 100: any explicit value moves the parsed
+        // headers from the stack to the heap, which costs 5% of a request. Empty lines before a
+        // request end at `max_buf_size`.
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(limits.header_timeout)
+            .header_read_timeout(limits.idle_timeout + limits.header_timeout)
+            .max_header_size(limits.max_header_bytes + 1)
+            .max_buf_size(MAX_BUFFER_BYTES.max(limits.max_header_bytes + 1))
             .serve_connection(TokioIo::new(stream), service);
         // When a connection fails there is no peer left to report to.
-        tokio::spawn(graceful.watch(connection));
+        let task = tokio::spawn(graceful.watch(connection));
+        connections.watch(state, task.abort_handle());
     }
     drop(listener);
+    let sweeping = async {
+        loop {
+            sweeps.tick().await;
+            connections.sweep(Instant::now());
+        }
+    };
     // Connections still open after this time belong to peers that neither read nor write.
-    let _ = time::timeout(limits.shutdown_timeout, graceful.shutdown()).await;
+    tokio::select! {
+        _ = time::timeout(limits.shutdown_timeout, graceful.shutdown()) => {}
+        () = sweeping => {}
+    }
 }
 
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
@@ -98,30 +178,6 @@
     let _ = stop.wait_for(|it| *it).await;
 }
 
-/// Reads a body within the limits.
-///
-/// # Errors
-///
-/// `BodyTooLarge`, `SlowRequest`, or `InvalidBody` when the body ends early.
-pub async fn read_body(body: Incoming, limits: &ServerLimits) -> Result<Bytes, RequestError> {
-    let reading = Limited::new(body, limits.max_body_bytes).collect();
-    match time::timeout(limits.body_timeout, reading).await {
-        Err(_) => {
-            let message = format!("the body took over {} ms", limits.body_timeout.as_millis());
-            Err(RequestError::new(ErrorKind::SlowRequest, message))
-        }
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is over {} bytes", limits.max_body_bytes);
-            Err(RequestError::new(ErrorKind::BodyTooLarge, message))
-        }
-        Ok(Err(error)) => {
-            let message = format!("the body was cut off: {error}");
-            Err(RequestError::new(ErrorKind::InvalidBody, message))
-        }
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-    }
-}
-
 /// A header's value, if present and valid text.
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name).and_then(|it| it.to_str().ok())
--- a/adapters/src/lib.rs
+++ b/adapters/src/lib.rs
@@ -10,8 +10,10 @@
 #[rustfmt::skip]
 pub mod api_types;
 pub mod bearer_guard;
+pub mod byte_budget;
 pub mod cell_metrics;
 pub mod cell_service;
+pub mod connection_guard;
 pub mod connection_pool;
 pub mod control_http;
 pub mod control_service;
@@ -28,5 +30,6 @@
 pub mod log_store;
 pub mod peer_link;
 pub mod process_setup;
+pub mod request_body;
 pub mod setting_args;
 pub mod wall_clock;
--- a/adapters/src/process_setup.rs
+++ b/adapters/src/process_setup.rs
@@ -107,6 +107,13 @@
         .with_context(|| format!("--listen: could not listen on {address}; is it in use?"))
 }
 
+/// Most descriptors that the system lets this process open, where the system tells.
+pub fn descriptor_limit() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|it| it.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 /// Listeners for SIGTERM and SIGINT. A signal that arrives between two waits is kept, as the
 /// listeners stay registered.
 #[derive(Debug)]
--- a/adapters/tests/test_entry_http.rs
+++ b/adapters/tests/test_entry_http.rs
@@ -198,6 +198,7 @@
         body_timeout: Duration::from_millis(300),
         max_body_bytes: 100_000,
         shutdown_timeout: Duration::from_secs(30),
+        ..ServerLimits::default()
     };
     let http = EntryHttp::new(
         jobs,
--- a/adapters/tests/test_reference.rs
+++ b/adapters/tests/test_reference.rs
@@ -5,6 +5,7 @@
     policy_settings::PolicySettings, prelude::*,
 };
 use yuccamux_adapters::{
+    connection_guard::ConnectionGuard,
     entry_control::ControlStatus,
     entry_metrics::{DispatcherView, EntryMetrics},
 };
@@ -30,7 +31,9 @@
 fn metric_table_matches_code() {
     let metrics = EntryMetrics::new();
     let dispatcher = JobDispatcher::new(VmName::from("vm"), PolicySettings::default(), 1);
-    let text = metrics.encode(&DispatcherView::new(&dispatcher), &ControlStatus::default());
+    let guard = ConnectionGuard::default().encode_metrics();
+    let view = DispatcherView::new(&dispatcher);
+    let text = guard + &metrics.encode(&view, &ControlStatus::default());
     let mut table = "| metric | what |\n|---|---|\n".to_owned();
     for line in text.lines().filter_map(|it| it.strip_prefix("# HELP ")) {
         let (name, help) = line.split_once(' ').expect("a name and a help text");
@@ -38,12 +41,16 @@
     }
     let mut names: Vec<&str> = text
         .lines()
-        .filter(|it| it.starts_with("yuccamux_dispatch{") || it.starts_with("yuccamux_control{"))
+        .filter(|it| {
+            let families =
+                ["yuccamux_dispatch{", "yuccamux_control{", "yuccamux_http_guard_events_"];
+            families.iter().any(|family| it.starts_with(family))
+        })
         .filter_map(|it| it.split_once("} ").map(|it| it.0))
         .collect();
     // A metric family yields its members in no particular order.
     names.sort_unstable();
-    table.push_str("\nNames under `yuccamux_dispatch` and `yuccamux_control`:\n\n");
+    table.push_str("\nNames under `yuccamux_dispatch`, `yuccamux_control` and `yuccamux_http_guard_events`:\n\n");
     for name in names {
         table.push_str(&format!("- `{name}}}`\n"));
     }
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -236,6 +236,7 @@
         body_timeout: Duration::from_millis(args.body_ms),
         max_body_bytes: args.max_body_bytes,
         shutdown_timeout: Duration::from_millis(args.stop_ms),
+        ..ServerLimits::default()
     };
     let http = EntryHttp::new(
         Arc::clone(&jobs),
