cell: no start on an incarnation before its announcement

The answer to a poll tells of a new incarnation before its announcement arrives.

An incarnation known only from an answer gets no start before its announcement. Answers to starts and stops tell of an incarnation as those to polls do; a run that another incarnation began than it was decided for is stopped. After a silence only the answer to a poll readmits an endpoint. The header of an order names the endpoint, which keeps its name, so the wire can't name the incarnation.

older_announcement_does_not_undo_a_newer_incarnation expected a start on an unannounced incarnation. It now expects none before the announcement and one after it.

--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -51,6 +51,7 @@
             match self.endpoints.get_mut(&record.name) {
                 Some(endpoint) if endpoint.record.incarnation == record.incarnation => {
                     endpoint.record = record.clone();
+                    endpoint.is_announced = true;
                 }
                 // A poll may tell of an incarnation before its announcement arrives.
                 Some(endpoint) if record.incarnation < endpoint.record.incarnation => {}
@@ -96,6 +97,23 @@
         }
     }
 
+    /// Begins an incarnation that an answer has told of. It gets no start before its announcement,
+    /// which may be of another kind; endpoints that announce no incarnation are taken as they are.
+    pub(super) fn begin_unannounced(
+        &mut self,
+        name: &EndpointName,
+        incarnation: u64,
+        now: ClockTime,
+    ) {
+        let Some(endpoint) = self.endpoints.get(name) else { return };
+        let announces_incarnation = 0 < endpoint.record.incarnation;
+        let record = EndpointRecord { incarnation, ..endpoint.record.clone() };
+        self.begin_incarnation(&record, now);
+        if let Some(endpoint) = self.endpoints.get_mut(name) {
+            endpoint.is_announced = !announces_incarnation;
+        }
+    }
+
     pub(super) fn poll_all(&mut self, now: ClockTime) {
         for idx in 0..self.endpoints.len() {
             self.poll(idx, now);
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -4,7 +4,6 @@
     cell::{
         cell_dispatcher::{CellDispatcher, CellEffect, STALL_SLACK_MS, TaskPhase},
         decision_record::{DecisionEvent, DecisionRecord},
-        endpoint_directory::EndpointRecord,
         endpoint_order::{
             EndpointOrder, ListedRun, OrderBody, OrderOutcome, OrderRefusal, RunLists,
         },
@@ -40,6 +39,13 @@
     pub fn handle_outcome(&mut self, order: &EndpointOrder, outcome: OrderOutcome, now: ClockTime) {
         let name = &order.endpoint;
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
+        if !matches!(order.body, OrderBody::Poll { .. })
+            && let OrderOutcome::Executed(_, Some(RunLists { incarnation: Some(it), .. })) = outcome
+            && endpoint.record.incarnation < it
+        {
+            self.handle_other_incarnation(order, it, now);
+            return;
+        }
         if order.token < endpoint.token {
             self.handle_former_outcome(order, &outcome, now);
             return;
@@ -56,7 +62,11 @@
                 false
             }
             OrderOutcome::Refused(_, clock) => {
-                if let Some(clock) = clock {
+                // A refusal names no incarnation. After a silence, another one may have answered, and
+                // only a poll tells.
+                if let Some(clock) = clock
+                    && endpoint.n_unanswered == 0
+                {
                     endpoint.record_contact(*clock, now);
                 }
                 true
@@ -177,6 +187,28 @@
         }
     }
 
+    /// Handles a start or a stop that another incarnation carried out than the one that it was decided
+    /// for, which may be of another kind: a run that began there is stopped. No order can name the
+    /// incarnation, as an endpoint that starts again keeps its name.
+    fn handle_other_incarnation(
+        &mut self,
+        order: &EndpointOrder,
+        incarnation: u64,
+        now: ClockTime,
+    ) {
+        let name = &order.endpoint;
+        self.begin_unannounced(name, incarnation, now);
+        let Some(endpoint) = self.endpoints.get(name) else { return };
+        if let OrderBody::Start { task, run, .. } = order.body
+            && endpoint.runs.get(&task).is_some_and(|it| it.run == run)
+        {
+            self.stop_run(name, task, "another incarnation began it", now);
+        }
+        if let Some(idx) = self.endpoints.get_index_of(name) {
+            self.poll(idx, now);
+        }
+    }
+
     pub(super) fn handle_stop_outcome(
         &mut self,
         name: &EndpointName,
@@ -226,8 +258,7 @@
             && endpoint.record.incarnation < incarnation
         {
             // The poll carried a token that was sent to the former incarnation as well.
-            let record = EndpointRecord { incarnation, ..endpoint.record.clone() };
-            self.begin_incarnation(&record, now);
+            self.begin_unannounced(name, incarnation, now);
             return;
         }
         endpoint.claim();
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -82,6 +82,9 @@
 pub(crate) struct EndpointState {
     /// Its latest announcement.
     pub(crate) record: EndpointRecord,
+    /// Whether its present incarnation has announced itself. Labels and capacity are an incarnation's:
+    /// before the announcement, `record` has those of the former one.
+    pub(crate) is_announced: bool,
     bounds: RunBounds,
     /// When its incarnation was learned of.
     pub(crate) begun_at: ClockTime,
@@ -139,6 +142,7 @@
     ) -> EndpointState {
         EndpointState {
             record,
+            is_announced: true,
             bounds,
             begun_at: now,
             leased_at: ClockTime::default(),
@@ -203,6 +207,7 @@
     /// Whether starts may be sent to it.
     pub(crate) fn accepts_starts(&self, now: ClockTime) -> bool {
         self.claimed
+            && self.is_announced
             && self.token_accepted
             && !self.record.leaving
             && self.departed_at.is_none()
@@ -337,6 +342,7 @@
     /// does the former one's token, so the new one gets a higher token.
     pub(crate) fn begin_incarnation(&mut self, record: EndpointRecord, token: u64, now: ClockTime) {
         self.record = record;
+        self.is_announced = true;
         self.begun_at = now;
         self.raise_token(token);
         self.speed = EndpointSpeed::default();
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -561,6 +561,11 @@
     // The poll that waits for the run's end goes on, and no other one claims the endpoint again.
     assert_eq!(leader.orders, []);
     leader.offer(offer(2, 1));
+    assert_eq!(leader.starts(), []);
+    leader
+        .dispatcher
+        .set_endpoints(&[EndpointRecord { incarnation: newer, ..record("a") }], leader.now);
+    leader.drain();
     assert_eq!(leader.starts().len(), 1);
 }
 
@@ -713,3 +718,68 @@
     assert!(starts.iter().all(|it| it.endpoint == EndpointName::from("e2")), "{starts:?}");
     assert_eq!(starts.len(), 2);
 }
+
+/// Guards against starts by the labels of a former incarnation: the answer to a poll names the new
+/// one before its announcement tells of what kind it is.
+#[test]
+fn incarnation_known_only_from_a_poll_gets_no_start_before_its_announcement() {
+    let mut leader = TestLeader::new(&["a"]);
+    let start = leader.begin(offer(1, 1)).remove(0);
+    leader.answer_poll_as("a", INCARNATION + 9, &[], &[]);
+    leader.answer_poll_as("a", INCARNATION + 9, &[], &[]);
+    let mut labelled = offer(2, 1);
+    labelled.steps[0].label = Some("a".to_owned());
+    leader.offer(labelled);
+    for _ in 0..10 {
+        leader.advance_ms(20);
+        for stop in leader.stops() {
+            leader.accept(&stop);
+        }
+    }
+    assert_eq!((start.endpoint.as_str(), leader.starts()), ("a", vec![]));
+    let other_kind = EndpointRecord {
+        incarnation: INCARNATION + 9,
+        labels: vec!["b".to_owned(), "r1".to_owned()],
+        ..record("a")
+    };
+    leader.dispatcher.set_endpoints(&[other_kind], leader.now);
+    leader.drain();
+    let tasks: Vec<OrderBody> = leader.starts().into_iter().map(|it| it.body).collect();
+    let is_first = |it: &OrderBody| matches!(it, OrderBody::Start { task, .. } if task.job.0 == 1);
+    assert!(tasks.len() == 1 && tasks.iter().all(is_first), "{tasks:?}");
+}
+
+/// Guards against a run on an endpoint that came back as another kind between two polls: it is
+/// stopped once the answer to its start tells of the other incarnation.
+#[test]
+fn start_that_another_incarnation_carried_out_is_stopped() {
+    let mut leader = TestLeader::new(&["a"]);
+    leader.offer(offer(1, 1));
+    let start = leader.starts().remove(0);
+    let lists = RunLists { incarnation: Some(INCARNATION + 9), ..RunLists::default() };
+    leader.answer(&start, OrderOutcome::Executed(5, Some(lists)));
+    let stops = leader.stops();
+    assert_eq!(stops.len(), 1);
+    assert!(start.token < stops[0].token);
+    leader.advance_ms(100);
+    assert_eq!(leader.starts(), []);
+}
+
+/// Guards against an endpoint that counts as present again by its answer to a stop: a poll was lost
+/// while it came back as another kind.
+#[test]
+fn stop_that_another_incarnation_answers_readmits_no_start() {
+    let mut leader = TestLeader::new(&["a"]);
+    leader.begin(offer(1, 1));
+    let poll = leader.orders.iter().rposition(|it| matches!(it.body, OrderBody::Poll { .. }));
+    let poll = leader.orders.remove(poll.unwrap());
+    leader.answer(&poll, OrderOutcome::Lost);
+    leader.dispatcher.cancel(JobCode(1), leader.now);
+    leader.drain();
+    let stop = leader.stops().remove(0);
+    let lists = RunLists { incarnation: Some(INCARNATION + 9), ..RunLists::default() };
+    leader.answer(&stop, OrderOutcome::Executed(5, Some(lists)));
+    leader.offer(offer(2, 1));
+    leader.advance_ms(20);
+    assert_eq!(leader.starts(), []);
+}
--- a/testutils/src/bin/cells.rs
+++ b/testutils/src/bin/cells.rs
@@ -24,6 +24,9 @@
     /// leaders are killed whose successors stand still soon after, beside long tasks
     #[argh(switch)]
     successors: bool,
+    /// endpoints come back as another kind, beside jobs that require a label
+    #[argh(switch)]
+    kinds: bool,
     /// print the notes that contain this text
     #[argh(option)]
     notes: Option<String>,
@@ -36,6 +39,7 @@
         in_series: args.series,
         late_departures: args.late_departures,
         successors_freeze: args.successors,
+        kinds_change: args.kinds,
         ..CellPlan::default()
     };
     let plan = if args.successors { CellPlan { n_jobs: 80, ..plan } } else { plan };
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -59,6 +59,8 @@
 const RESTART_MS: u64 = 500;
 /// Time for which the successor of a killed leader stands still, in ms.
 const SUCCESSOR_FREEZE_MS: u64 = 4_000;
+/// Labels of the kinds of endpoints.
+const KINDS: [&str; 2] = ["a", "b"];
 /// How far the clock of an endpoint that took over an address is ahead, in ms.
 const OTHER_AHEAD_MS: u64 = 7_000_000;
 
@@ -83,6 +85,8 @@
     pub late_departures: bool,
     /// Whether leaders are killed whose successors stand still soon after, beside long tasks.
     pub successors_freeze: bool,
+    /// Whether endpoints crash and come back as another kind, beside jobs that require a label.
+    pub kinds_change: bool,
 }
 
 impl Default for CellPlan {
@@ -97,6 +101,7 @@
             in_series: false,
             late_departures: false,
             successors_freeze: false,
+            kinds_change: false,
         }
     }
 }
@@ -267,6 +272,9 @@
     open_orders: IndexSet<(VmName, u64, u64)>,
     /// When the next entry that takes over stands still, and how many cells each led before.
     successor_watch: Option<(u64, IndexMap<VmName, usize>)>,
+    kinds_change: bool,
+    /// When an answer first told an incarnation of an entry of an endpoint's incarnation.
+    contacted: IndexMap<(VmName, u64, EndpointName, u64), ClockTime>,
 }
 
 fn vm_of(centre: usize, idx: usize) -> VmName {
@@ -327,12 +335,17 @@
             delay_milli: 0,
             open_orders: IndexSet::new(),
             successor_watch: None,
+            kinds_change: plan.kinds_change,
+            contacted: IndexMap::new(),
         };
         world.build(plan);
         let mut n_left = plan.n_faults;
         while 0 < n_left {
             let after_ms = 4_000 + world.rng.random_range(0..plan.span_ms);
-            if plan.successors_freeze {
+            if plan.kinds_change {
+                world.add_change_of_kind(after_ms, plan);
+                n_left -= 1;
+            } else if plan.successors_freeze {
                 let freeze_ms = world.rng.random_range(10..300);
                 world.add_fault(after_ms, CellFault::LoseSuccessor(freeze_ms));
                 n_left -= 1;
@@ -389,8 +402,9 @@
             let work_ms = if is_short { 60 } else { self.rng.random_range(100..900) };
             let is_long = plan.successors_freeze && !is_short && self.rng.random_range(0..2) == 0;
             let work_ms = if is_long { self.rng.random_range(LONG_WORK_MS) } else { work_ms };
+            let needs_label = plan.kinds_change && self.rng.random_range(0..2) == 0;
             let step = JobStep {
-                count: self.rng.random_range(1..6),
+                count: if needs_label { 1 } else { self.rng.random_range(1..6) },
                 demand: ResourceAmount {
                     cpu: self.rng.random_range(5_000..9_000),
                     mem_mb: 10,
@@ -399,7 +413,7 @@
                 declared_ms: work_ms,
                 after: Vec::new(),
                 data_rack: is_short.then(|| format!("r{centre}-{rack}")),
-                label: None,
+                label: needs_label.then(|| KINDS[0].to_owned()),
                 max_on_endpoint: None,
             };
             let offer = JobOffer {
@@ -483,6 +497,15 @@
         n_faults
     }
 
+    /// Adds a crash of an endpoint, which comes back soon as another kind.
+    fn add_change_of_kind(&mut self, after_ms: u64, plan: &CellPlan) {
+        let centre = self.rng.random_range(0..plan.n_centres);
+        let idx = self.rng.random_range(0..plan.n_runners);
+        let name = EndpointName(format!("runner-{centre}-{idx}"));
+        let down_ms = self.rng.random_range(50..700);
+        self.add_fault(after_ms, CellFault::Crash(name, DownAnswer::Refused, down_ms));
+    }
+
     fn add_runner_fault(&mut self, at_ms: u64, name: &EndpointName, plan: &CellPlan) {
         let centre = self.rng.random_range(0..plan.n_centres);
         let vm = vm_of(centre, self.rng.random_range(0..plan.n_entries));
@@ -650,6 +673,13 @@
                 let open = (vm.clone(), incarnation, order.number.0);
                 let is_open = self.open_orders.swap_remove(&open);
                 if is_open && self.entries[&vm].incarnation == incarnation {
+                    if let OrderOutcome::Executed(_, Some(lists)) = &outcome
+                        && let Some(life) = lists.incarnation
+                    {
+                        let name = order.endpoint.clone();
+                        let key = (vm.clone(), incarnation, name, life);
+                        self.contacted.entry(key).or_insert(self.now);
+                    }
                     self.with_node(&vm, |node, now| node.handle_outcome(&order, outcome, now));
                 }
             }
@@ -996,6 +1026,7 @@
         {
             let origin = RunOrigin { vm: vm.clone(), sent_at, began_at: now };
             self.origins.insert((name.clone(), *task, *run), origin);
+            self.check_label(&vm, incarnation, &name, *task, sent_at);
             self.check_start(&name, *task, *run);
         }
         if self.keeps_notes && !matches!(order.body, OrderBody::Poll { .. }) {
@@ -1077,6 +1108,28 @@
         }
     }
 
+    /// Checks that an endpoint has the label that a task requires, unless its leader had heard
+    /// nothing of its present life.
+    fn check_label(
+        &mut self,
+        vm: &VmName,
+        incarnation: u64,
+        name: &EndpointName,
+        task: TaskRef,
+        sent_at: ClockTime,
+    ) {
+        let (Some(runner), Some(job)) = (self.runners.get(name), self.jobs.get(&task.job)) else {
+            return;
+        };
+        let life = runner.record.incarnation;
+        let contacted_at = self.contacted.get(&(vm.clone(), incarnation, name.clone(), life));
+        let Some(label) = &job.offer.steps[task.step as usize].label else { return };
+        if contacted_at.is_some_and(|it| *it < sent_at) && !runner.record.labels.contains(label) {
+            let text = format!("{}: {task:?} starts on {name} without label {label}", self.now);
+            self.violations.push(text);
+        }
+    }
+
     /// A run with who ordered it, and why the leader took it to be over.
     fn describe_run(&self, name: &EndpointName, task: TaskRef, run: u32) -> String {
         let mut text = format!("run {run} on {name}");
@@ -1292,7 +1345,14 @@
             CellFault::Crash(name, ..) | CellFault::Depart(name, ..) => {
                 let now = self.now;
                 self.leaving_since.swap_remove(name);
-                self.with_runner(name, |it| it.begin_life(now));
+                let changes_kind = self.kinds_change;
+                self.with_runner(name, |it| {
+                    it.begin_life(now);
+                    if changes_kind {
+                        let kind = usize::from(it.record.labels[0] == KINDS[0]);
+                        it.record.labels[0] = KINDS[kind].to_owned();
+                    }
+                });
                 if self.in_series && self.rng.random_range(0..2) == 0 {
                     self.announce_all();
                 }
--- a/testutils/tests/test_cell_world.rs
+++ b/testutils/tests/test_cell_world.rs
@@ -127,3 +127,12 @@
         check(seed, &plan);
     }
 }
+
+/// Guards against starts by the labels of a former incarnation: endpoints crash and come back as
+/// another kind. Each of the seeds failed while an incarnation known only from an answer got starts.
+#[test]
+fn endpoints_that_come_back_as_another_kind() {
+    for seed in 2..=6 {
+        check(seed, &CellPlan { kinds_change: true, ..CellPlan::default() });
+    }
+}
