control: a planned replacement with a second loss is listed as known red

A member that is told to stop is removed before the spare votes. In between, about a second, two voters are left for two VMs, and the loss of one ends the group, though it is the only one. The case is a test now, ignored and listed in KNOWN-RED.txt; it needs spares that hold the log before they are added.

--- a/lib/tests/test_control_restart/membership.rs
+++ b/lib/tests/test_control_restart/membership.rs
@@ -150,3 +150,29 @@
     world.run_ms(REGAIN_MS + 3_000);
     assert_eq!(world.alarms, [(vm(1), ToleranceChange::Short(GroupHealth::NoGroup))]);
 }
+
+/// A member is replaced on a plan by a spare that has long been up, and another member is lost
+/// for good soon after the signal to stop: one loss, which must not end the group. Known red, see
+/// KNOWN-RED.txt: the member is removed before the spare votes, and with two voters for two VMs
+/// nothing may be lost.
+#[test]
+#[ignore = "known red"]
+fn member_lost_during_a_planned_replacement_ends_no_group() {
+    for span_ms in (0..=800).step_by(50) {
+        let mut world = World::new(3, 14);
+        world.start(&vm(4));
+        world.run_ms(2 * CATCH_UP_MS);
+        let leader = world.leader().unwrap();
+        let mut others = (1..=3).map(vm).filter(|it| *it != leader);
+        let (replaced, lost) = (others.next().unwrap(), others.next().unwrap());
+        world.stop(&replaced);
+        world.run_ms(span_ms);
+        world.remove(&lost);
+        world.run_ms(800 - span_ms);
+        world.remove(&replaced);
+        world.run_ms(1_000);
+        world.start(&vm(5));
+        world.run_ms(RECOVERY_MS + REGAIN_MS);
+        assert_eq!(world.members().len(), 3, "lost {span_ms} ms after the signal");
+    }
+}
