--- a/adapters/src/connection_guard.rs
+++ b/adapters/src/connection_guard.rs
@@ -4,7 +4,7 @@
     io::{self, IoSlice},
     pin::Pin,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, PoisonError, Weak,
         atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
@@ -365,7 +365,8 @@
     guard: ConnectionGuard,
     limits: ServerLimits,
     shared: Arc<ListenerShared>,
-    open: Vec<(Arc<ConnectionState>, AbortHandle)>,
+    /// The task of a connection owns its state, so that one that has ended counts no more.
+    open: Vec<(Weak<ConnectionState>, AbortHandle)>,
     swept_at: Instant,
 }
 
@@ -409,7 +410,7 @@
     }
 
     /// Watches a connection that is served by a task.
-    pub(crate) fn watch(&mut self, state: Arc<ConnectionState>, task: AbortHandle) {
+    pub(crate) fn watch(&mut self, state: Weak<ConnectionState>, task: AbortHandle) {
         self.open.push((state, task));
     }
 
@@ -420,9 +421,7 @@
         self.shared.now_ms.fetch_add(elapsed.as_millis() as u64, Ordering::Relaxed);
         let (guard, limits) = (&self.guard, &self.limits);
         self.open.retain(|(state, task)| {
-            if task.is_finished() {
-                return false;
-            }
+            let Some(state) = state.upgrade() else { return false };
             let Some(event) = state.exceeded_limit(limits) else { return true };
             guard.record(event);
             task.abort();
--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -133,9 +133,9 @@
         let _ = stream.set_nodelay(true);
         let handle = handle.clone();
         let stream = GuardedStream::new(stream, Arc::clone(&state));
-        let request_state = Arc::clone(&state);
+        let watched = Arc::downgrade(&state);
         let service = service_fn(move |request| {
-            let state = Arc::clone(&request_state);
+            let state = Arc::clone(&state);
             state.begin_request();
             let body_state = Arc::clone(&state);
             let handled =
@@ -157,7 +157,7 @@
             .serve_connection(TokioIo::new(stream), service);
         // When a connection fails there is no peer left to report to.
         let task = tokio::spawn(graceful.watch(connection));
-        connections.watch(state, task.abort_handle());
+        connections.watch(watched, task.abort_handle());
     }
     drop(listener);
     let sweeping = async {
