--- a/adapters/src/cell_service.rs
+++ b/adapters/src/cell_service.rs
@@ -14,6 +14,7 @@
         cell_node::{CellNode, CellSettings, NodeEffect},
         endpoint_order::{EndpointOrder, OrderOutcome},
         job_offer::{JobCode, JobOffer, JobResult},
+        node_cancels::CancelResult,
         route_plan::RoutePlan,
     },
     entry_node::CallNumber,
@@ -44,7 +45,7 @@
 enum CellInput {
     Submit(CallNumber, JobOffer, oneshot::Sender<JobResult>),
     CallerLeft(CallNumber),
-    Cancel(JobCode, oneshot::Sender<bool>),
+    Cancel(CallNumber, JobCode, oneshot::Sender<CancelResult>),
     Pending(String, oneshot::Sender<u64>),
     Outcome(EndpointOrder, OrderOutcome),
     Controls(Vec<VmName>),
@@ -104,11 +105,12 @@
         result
     }
 
-    /// Cancels a job; returns whether a caller of this entry waited for it.
-    pub async fn cancel(&self, job: JobCode) -> bool {
+    /// Cancels a job, whichever entry holds it.
+    pub async fn cancel(&self, job: JobCode) -> CancelResult {
+        let number = self.next_call.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
-        let _ = self.inbox.send(CellInput::Cancel(job, reply));
-        answer.await.unwrap_or(false)
+        let _ = self.inbox.send(CellInput::Cancel(CallNumber(number), job, reply));
+        answer.await.unwrap_or(CancelResult::Unknown)
     }
 
     /// Number of a route's jobs of which no task has started.
@@ -163,6 +165,7 @@
         log: DecisionLog::start(process)?,
         metrics: CellMetrics::new(),
         calls: IndexMap::new(),
+        cancel_calls: IndexMap::new(),
         outcomes: inbox.clone(),
         view: view_sender,
     };
@@ -178,6 +181,7 @@
     log: DecisionLog,
     metrics: CellMetrics,
     calls: IndexMap<CallNumber, oneshot::Sender<JobResult>>,
+    cancel_calls: IndexMap<CallNumber, oneshot::Sender<CancelResult>>,
     outcomes: mpsc::UnboundedSender<CellInput>,
     view: watch::Sender<CellView>,
 }
@@ -228,9 +232,9 @@
                 self.calls.swap_remove(&call);
                 self.node.cancel_call(call, now);
             }
-            CellInput::Cancel(job, reply) => {
-                // The caller may have gone.
-                let _ = reply.send(self.node.cancel(job, now));
+            CellInput::Cancel(call, job, reply) => {
+                self.cancel_calls.insert(call, reply);
+                self.node.cancel(call, job, now);
             }
             CellInput::Pending(route, reply) => {
                 let _ = reply.send(self.node.n_pending(&route));
@@ -298,6 +302,12 @@
                         let _ = reply.send(result);
                     }
                 }
+                NodeEffect::CancelAnswer(call, result) => {
+                    if let Some(reply) = self.cancel_calls.swap_remove(&call) {
+                        // The caller may have gone.
+                        let _ = reply.send(result);
+                    }
+                }
                 NodeEffect::LogDecision(record) => {
                     self.metrics.record_decision(&record);
                     self.log.log_decision(record);
--- a/lib/src/cell/cell_node.rs
+++ b/lib/src/cell/cell_node.rs
@@ -17,6 +17,7 @@
         endpoint_order::{EndpointOrder, OrderNumber, OrderOutcome},
         job_offer::{JobCode, JobResult, RefusalCause},
         job_router::{CellView, JobRouter, RoutedJob},
+        node_cancels::{CancelInquiries, CancelResult},
         route_plan::RoutePlan,
         run_bounds::RunBounds,
     },
@@ -89,6 +90,8 @@
     Digest(Vec<VmName>, HeartbeatDigest),
     /// Answer a call with the result of its job.
     Answer(CallNumber, JobResult),
+    /// Answer a call that cancels a job.
+    CancelAnswer(CallNumber, CancelResult),
     /// Write a decision to the log.
     LogDecision(DecisionRecord),
 }
@@ -133,6 +136,7 @@
     pub(super) fences: IndexMap<CellName, (u64, ClockTime)>,
     pub(super) views: IndexMap<CellName, CellView>,
     pub(super) router: JobRouter,
+    pub(super) cancels: CancelInquiries,
     pub(super) n_heartbeats: u64,
     /// Whether this entry claimed a cell or began to stop since its last heartbeat.
     pub(super) has_leadership_news: bool,
@@ -172,6 +176,7 @@
             fences: IndexMap::new(),
             views: IndexMap::new(),
             router: JobRouter::default(),
+            cancels: CancelInquiries::default(),
             n_heartbeats: 0,
             has_leadership_news: false,
             relay_recipients: None,
@@ -316,6 +321,7 @@
         }
         self.run_effects(now);
         self.tick_jobs(now);
+        self.tick_cancels(now);
         if self.next_heartbeat_at <= now {
             self.next_heartbeat_at = now.plus_ms(HEARTBEAT_MS);
             if self.is_without_control(now) {
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -257,6 +257,25 @@
         self.run_placement_pass(now);
     }
 
+    /// Ends a job that its caller cancelled at any entry, and stops its runs, also those that no
+    /// job claims.
+    ///
+    /// Its entry is told that it failed, also when it offers the job again.
+    pub fn cancel_for_caller(&mut self, code: JobCode, now: ClockTime) {
+        if self.jobs.contains_key(&code) {
+            self.end_job(code, JobResult::Failed, now);
+        }
+        let mut runs = Vec::new();
+        for (name, endpoint) in &self.endpoints {
+            let of_job = endpoint.runs.keys().filter(|it| it.job == code);
+            runs.extend(of_job.map(|task| (name.clone(), *task)));
+        }
+        for (name, task) in runs {
+            self.stop_run(&name, task, "cancelled", now);
+        }
+        self.run_placement_pass(now);
+    }
+
     /// Cancels the jobs of an entry that has failed or left.
     pub fn cancel_jobs_of(&mut self, origin: &VmName, now: ClockTime) {
         let of_origin = self.jobs.iter().filter(|(_, it)| it.origin == *origin);
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -40,6 +40,7 @@
 mod local_load;
 pub mod membership_service;
 mod node_callers;
+pub mod node_cancels;
 mod node_cells;
 mod node_heartbeats;
 mod node_peers;
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -20,6 +20,7 @@
     pub fn submit(&mut self, call: CallNumber, offer: JobOffer, now: ClockTime) {
         self.detect_stall(now);
         let code = offer.job;
+        self.forget_cancelled(code);
         if let Some(known) = self.router.jobs.get_mut(&code) {
             // The caller has repeated its request, so the answer goes to the new call.
             let former = std::mem::replace(&mut known.call, call);
@@ -59,15 +60,6 @@
         self.cancel_job(code, now);
     }
 
-    /// Cancels a job and answers its caller; returns whether a caller of this entry waited for it.
-    pub fn cancel(&mut self, code: JobCode, now: ClockTime) -> bool {
-        let Some(job) = self.router.jobs.get(&code) else { return false };
-        let call = job.call;
-        self.cancel_job(code, now);
-        self.effects.push(NodeEffect::Answer(call, JobResult::Failed));
-        true
-    }
-
     pub(super) fn cancel_job(&mut self, code: JobCode, now: ClockTime) {
         let Some(job) = self.router.jobs.swap_remove(&code) else { return };
         let record = DecisionRecord::new(now, DecisionEvent::JobWithdrawn, "caller", "left");
--- a/lib/src/cell/node_heartbeats.rs
+++ b/lib/src/cell/node_heartbeats.rs
@@ -188,6 +188,9 @@
             let record = DecisionRecord::new(now, DecisionEvent::PeerFound, from.as_str(), "heard");
             self.log_decision(record.with("plan_version", heartbeat.plan_version));
         }
+        if is_found && heartbeat.role == VmRole::Entry {
+            self.repeat_cancels(&from);
+        }
         if heartbeat.role == VmRole::Control && !self.controls.contains(&from) {
             self.controls.push(from.clone());
         }
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -60,6 +60,10 @@
                 self.send(from, snapshot);
             }
             CellMessage::Plan(plan) => self.apply_plan(plan, now),
+            CellMessage::CancelJobs(jobs) => self.handle_cancels(from, jobs, now),
+            CellMessage::CancelAnswers(answers) => {
+                self.handle_cancel_answers(from, answers, now);
+            }
         }
         self.run_effects(now);
     }
--- a/lib/src/cell/run_bounds.rs
+++ b/lib/src/cell/run_bounds.rs
@@ -32,12 +32,20 @@
     pub max_hold_ms: u64,
     /// Time from the loss of a caller's connection until it may send its job again.
     pub resend_ms: u64,
+    /// Longest time from the acknowledgement of a cancellation until the job's last start.
+    pub cancel_ms: u64,
 }
 
 impl Default for RunBounds {
     /// Bounds of the product's own programs and of the tests.
     fn default() -> RunBounds {
-        RunBounds { stop_ms: 50, lease_ms: 3_000, max_hold_ms: 1_000, resend_ms: 1_300 }
+        RunBounds {
+            stop_ms: 50,
+            lease_ms: 3_000,
+            max_hold_ms: 1_000,
+            resend_ms: 1_300,
+            cancel_ms: 4_000,
+        }
     }
 }
 
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -783,3 +783,27 @@
     leader.advance_ms(20);
     assert_eq!(leader.starts(), []);
 }
+
+/// Guards against a job that goes on at a leader whose entry the cancelling entry can't reach.
+#[test]
+fn leader_ends_a_job_that_its_caller_cancels_elsewhere() {
+    let mut leader = TestLeader::new(&["a"]);
+    leader.begin(offer(1, 2));
+    leader.dispatcher.cancel_for_caller(JobCode(1), leader.now);
+    leader.drain();
+    assert_eq!(leader.stops().len(), 2);
+    assert_eq!(leader.results, [(JobCode(1), 1, JobResult::Failed)]);
+    // Its entry has not heard of it and offers it again.
+    leader.offer(JobOffer { number: 8, is_repeat: true, ..offer(1, 2) });
+    assert_eq!(leader.results[1..], [(JobCode(1), 8, JobResult::Failed)]);
+}
+
+/// Guards against runs of a cancelled job that wait for their job to be offered: its entry is lost.
+#[test]
+fn run_of_a_cancelled_job_is_stopped_though_no_job_claims_it() {
+    let mut leader = TestLeader::unclaimed(&["a"]);
+    leader.answer_poll("a", &[(task(1, 0), 1)], &[]);
+    leader.dispatcher.cancel_for_caller(JobCode(1), leader.now);
+    leader.drain();
+    assert_eq!(leader.stops().len(), 1);
+}
--- a/testutils/src/bin/cells.rs
+++ b/testutils/src/bin/cells.rs
@@ -27,6 +27,9 @@
     /// endpoints come back as another kind, beside jobs that require a label
     #[argh(switch)]
     kinds: bool,
+    /// callers cancel jobs, each at any entry
+    #[argh(switch)]
+    cancels: bool,
     /// print the notes that contain this text
     #[argh(option)]
     notes: Option<String>,
@@ -40,9 +43,10 @@
         late_departures: args.late_departures,
         successors_freeze: args.successors,
         kinds_change: args.kinds,
+        callers_cancel: args.cancels,
         ..CellPlan::default()
     };
-    let plan = if args.successors { CellPlan { n_jobs: 80, ..plan } } else { plan };
+    let plan = if args.successors || args.cancels { CellPlan { n_jobs: 80, ..plan } } else { plan };
     let (mut n_broken, mut n_completed, mut n_refused) = (0, 0, 0);
     for seed in args.seed..args.seed + args.cases {
         let mut world = CellWorld::new(seed, &plan);
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -20,6 +20,7 @@
         endpoint_directory::EndpointRecord,
         endpoint_order::{EndpointOrder, OrderBody, OrderOutcome, OrderRefusal},
         job_offer::{JobCode, JobOffer, JobResult, JobStep, ResourceAmount, TaskRef},
+        node_cancels::CancelResult,
         route_plan::RoutePlan,
         run_bounds::RunBounds,
     },
@@ -59,6 +60,12 @@
 const RESTART_MS: u64 = 500;
 /// Time for which the successor of a killed leader stands still, in ms.
 const SUCCESSOR_FREEZE_MS: u64 = 4_000;
+/// Time after the answer to a cancelling in which its job may still start tasks, in ms.
+const CANCEL_MS: u64 = 4_000;
+/// Time after which a caller cancels again, in ms.
+const CANCEL_REPEAT_MS: u64 = 2_000;
+/// Steps of a job that its caller cancels, and the time for which that one waits, in ms.
+const CANCELLED_JOB: (u32, u64) = (10, 12_000);
 /// Labels of the kinds of endpoints.
 const KINDS: [&str; 2] = ["a", "b"];
 /// How far the clock of an endpoint that took over an address is ahead, in ms.
@@ -87,6 +94,8 @@
     pub successors_freeze: bool,
     /// Whether endpoints crash and come back as another kind, beside jobs that require a label.
     pub kinds_change: bool,
+    /// Whether callers cancel jobs of many steps, each at any entry.
+    pub callers_cancel: bool,
 }
 
 impl Default for CellPlan {
@@ -102,6 +111,7 @@
             late_departures: false,
             successors_freeze: false,
             kinds_change: false,
+            callers_cancel: false,
         }
     }
 }
@@ -186,6 +196,7 @@
     Tick,
     News,
     Submit(JobCode),
+    CancelJob(JobCode),
     GiveUp(JobCode, u64),
     Fault(CellFault),
     Start(VmName),
@@ -218,6 +229,8 @@
     is_waiting: Option<(VmName, CallNumber)>,
     result: Option<JobResult>,
     refused_at: Option<ClockTime>,
+    /// When its cancelling was answered.
+    cancelled_at: Option<ClockTime>,
 }
 
 struct WorldEntry {
@@ -265,6 +278,7 @@
     last_sent: IndexMap<(VmName, VmName), ClockTime>,
     jobs: IndexMap<JobCode, WorldJob>,
     calls: IndexMap<(VmName, CallNumber), JobCode>,
+    cancel_calls: IndexMap<CallNumber, JobCode>,
     next_call: u64,
     lose_milli: u64,
     delay_milli: u64,
@@ -330,6 +344,7 @@
             last_sent: IndexMap::new(),
             jobs: IndexMap::new(),
             calls: IndexMap::new(),
+            cancel_calls: IndexMap::new(),
             next_call: 0,
             lose_milli: 0,
             delay_milli: 0,
@@ -416,18 +431,32 @@
                 label: needs_label.then(|| KINDS[0].to_owned()),
                 max_on_endpoint: None,
             };
+            let is_cancelled = plan.callers_cancel && self.rng.random_range(0..2) == 0;
+            let mut steps = vec![step];
+            if is_cancelled {
+                let chained = |it: u32| JobStep {
+                    count: 1,
+                    after: it.checked_sub(1).into_iter().collect(),
+                    ..steps[0].clone()
+                };
+                steps = (0..CANCELLED_JOB.0).map(chained).collect();
+            }
             let offer = JobOffer {
                 job: code,
                 route: if is_short { "short" } else { "long" }.to_owned(),
                 service: SERVICE.to_owned(),
                 spec: "x".to_owned(),
-                steps: vec![step],
+                steps,
                 priority: 0,
                 max_attempts: 3,
                 stretch_milli: STRETCH_MILLI,
                 slack_ms: SLACK_MS,
                 age_ms: 0,
-                remaining_ms: if is_long { LONG_PATIENCE_MS } else { PATIENCE_MS },
+                remaining_ms: match (is_cancelled, is_long) {
+                    (true, _) => CANCELLED_JOB.1,
+                    (_, true) => LONG_PATIENCE_MS,
+                    _ => PATIENCE_MS,
+                },
                 first_run: 0,
                 number: 0,
                 token: 0,
@@ -441,10 +470,15 @@
                 is_waiting: None,
                 result: None,
                 refused_at: None,
+                cancelled_at: None,
             };
             self.jobs.insert(code, job);
             let at = self.now.plus_ms(3_000 + self.rng.random_range(0..plan.span_ms));
             self.push(at, WorldEvent::Submit(code));
+            if is_cancelled {
+                let at = at.plus_ms(self.rng.random_range(100..1_500));
+                self.push(at, WorldEvent::CancelJob(code));
+            }
         }
     }
 
@@ -606,6 +640,7 @@
                 }
             }
             WorldEvent::Submit(code) => self.submit(code),
+            WorldEvent::CancelJob(code) => self.cancel(code),
             WorldEvent::GiveUp(code, attempt) => self.give_up(code, attempt),
             WorldEvent::Fault(fault) => self.strike(fault),
             WorldEvent::Mend(fault) => self.mend(&fault),
@@ -796,6 +831,7 @@
                 }
             }
             NodeEffect::Answer(call, result) => self.answer(vm, call, result),
+            NodeEffect::CancelAnswer(call, result) => self.take_cancel_answer(call, result),
             NodeEffect::LogDecision(note) => {
                 if note.event == DecisionEvent::TaskRequeued
                     && let Some(job) = note.job
@@ -895,6 +931,35 @@
         self.take_traffic(WorldEvent::Call(vm, incarnation, call, offer));
     }
 
+    /// Cancels a job at any entry that is up.
+    fn cancel(&mut self, code: JobCode) {
+        let is_up = |it: &WorldEntry| it.node.is_some() && !it.stopping && !it.frozen;
+        let up: Vec<VmName> =
+            self.entries.iter().filter(|(_, it)| is_up(it)).map(|(vm, _)| vm.clone()).collect();
+        if self.jobs[&code].result.is_some() {
+            return;
+        }
+        // A call without an answer is sent again.
+        self.push(self.now.plus_ms(CANCEL_REPEAT_MS), WorldEvent::CancelJob(code));
+        if up.is_empty() {
+            return;
+        }
+        let vm = up[self.rng.random_range(0..up.len())].clone();
+        self.next_call += 1;
+        let call = CallNumber(self.next_call);
+        self.cancel_calls.insert(call, code);
+        self.with_node(&vm, |node, now| node.cancel(call, code, now));
+    }
+
+    fn take_cancel_answer(&mut self, call: CallNumber, result: CancelResult) {
+        let Some(code) = self.cancel_calls.get(&call) else { return };
+        let Some(job) = self.jobs.get_mut(code) else { return };
+        if result != CancelResult::Unknown && job.cancelled_at.is_none() {
+            job.cancelled_at = Some(self.now);
+            job.result.get_or_insert(JobResult::Failed);
+        }
+    }
+
     fn give_up(&mut self, code: JobCode, attempt: u64) {
         let Some(job) = self.jobs.get(&code) else { return };
         if job.attempts != attempt || job.result.is_some() {
@@ -1095,6 +1160,12 @@
             self.violations.push(format!("{}: {task:?} of a refused job starts", self.now));
         }
         let Some(origin) = self.origins.get(&(name.clone(), task, run)) else { return };
+        if let Some(at) = self.jobs.get(&task.job).and_then(|it| it.cancelled_at)
+            && CANCEL_MS < origin.sent_at.since_ms(at)
+        {
+            let text = format!("{}: {task:?} starts, cancelled at {at}", self.now);
+            self.violations.push(text);
+        }
         // One that stood still has not heard yet that an endpoint leaves.
         let disturbed_at = self.disturbed_at.get(&origin.vm).copied().unwrap_or_default();
         // A start that was held up is judged by when it was ordered.
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -328,6 +328,7 @@
                     self.push(self.now.plus_ms(LINK_MS), LoadEvent::Order(order));
                 }
                 NodeEffect::Answer(call, result) => self.answer(call, &result),
+                NodeEffect::CancelAnswer(..) => {}
                 NodeEffect::LogDecision(note) => {
                     *self.notes.entry(note.event.name()).or_default() += 1
                 }
--- a/testutils/tests/test_cell_world.rs
+++ b/testutils/tests/test_cell_world.rs
@@ -136,3 +136,14 @@
         check(seed, &CellPlan { kinds_change: true, ..CellPlan::default() });
     }
 }
+
+/// Guards against jobs that go on although their cancelling was answered, at any entry, under faults.
+#[test]
+fn cancelled_jobs_end() {
+    for (seed, n_faults) in [(1, 6), (2, 6), (3, 6), (80, 6), (153, 6), (174, 6)] {
+        check(
+            seed,
+            &CellPlan { n_faults, n_jobs: 80, callers_cancel: true, ..CellPlan::default() },
+        );
+    }
+}
