cell: a run that no job claims counts with a task's size

handle_unknown_run counted it with a thousandth of a core. Once its stop was acknowledged, starts were sent beside it while it still ended. It now counts with the largest demand of the known jobs' tasks, or with the endpoint's capacity while none is known. Endpoints with such runs get no starts, so the size matters only until a stop has taken effect; the report of unreserved processor leaves them out.

run_that_no_job_claims_takes_its_room_until_it_is_over failed before.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -14,7 +14,7 @@
         cell_message::{CellName, CellReport},
         decision_record::DecisionRecord,
         endpoint_order::{EndpointOrder, OrderBody, OrderNumber},
-        endpoint_state::EndpointState,
+        endpoint_state::{EndpointState, RunPhase},
         job_offer::{JobCode, JobOffer, JobResult, ResourceAmount, TaskRef},
         local_load::LocalLoad,
         run_bounds::RunBounds,
@@ -282,7 +282,9 @@
 
     /// Free CPU that jobs without data in this rack may use, in thousandths of a core.
     fn unreserved_cpu(&self, report: &CellReport, now: ClockTime) -> u64 {
+        // Endpoints with runs that no job claims accept no starts and are not part of the capacity.
         let runs = self.endpoints.values().flat_map(|it| &it.runs);
+        let runs = runs.filter(|(_, run)| run.phase != RunPhase::Orphan);
         let is_other = |task: &TaskRef| {
             self.jobs.get(&task.job).is_none_or(|it| !self.is_data_local(&it.offer))
         };
--- a/lib/src/cell/dispatch_outcomes.rs
+++ b/lib/src/cell/dispatch_outcomes.rs
@@ -324,6 +324,17 @@
         }
     }
 
+    /// Largest demand of the known jobs' tasks, in each resource: a run that no job claims counts with
+    /// it. Counting it too large leaves room unused only until it is claimed or over.
+    fn largest_demand(&self) -> Option<ResourceAmount> {
+        let steps = self.jobs.values().flat_map(|it| &it.offer.steps);
+        steps.map(|it| it.demand).reduce(|lhs, rhs| ResourceAmount {
+            cpu: lhs.cpu.max(rhs.cpu),
+            mem_mb: lhs.mem_mb.max(rhs.mem_mb),
+            gpu: lhs.gpu.max(rhs.gpu),
+        })
+    }
+
     /// Handles a run that this leader did not start or no longer tracks.
     pub(super) fn handle_unknown_run(
         &mut self,
@@ -333,10 +344,11 @@
         now: ClockTime,
     ) {
         self.check_closed_run(listed.task, listed.run, name, now);
+        let largest = self.largest_demand();
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let run = EndpointRun {
             run: listed.run,
-            demand: ResourceAmount { cpu: 1, mem_mb: 0, gpu: 0 },
+            demand: largest.unwrap_or(endpoint.record.capacity),
             phase: RunPhase::Orphan,
             was_answered: true,
             since: now,
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -807,3 +807,22 @@
     leader.drain();
     assert_eq!(leader.stops().len(), 1);
 }
+
+/// Guards against starts beside runs that still end: a run that no job claims counted as a thousandth
+/// of a core once its stop was acknowledged.
+#[test]
+fn run_that_no_job_claims_takes_its_room_until_it_is_over() {
+    let mut leader = TestLeader::unclaimed(&["a"]);
+    leader.answer_poll("a", &[(task(8, 0), 1), (task(9, 0), 1)], &[]);
+    leader.offer(offer(1, 1));
+    leader.advance_ms(350);
+    let stops = leader.stops();
+    assert_eq!(stops.len(), 2);
+    for stop in &stops {
+        leader.accept(stop);
+    }
+    leader.advance_ms(30);
+    assert_eq!(leader.starts(), []);
+    leader.advance_ms(40);
+    assert_eq!(leader.starts().len(), 1);
+}
