cell: refuse hopeless waits early under overload, and serve routes by their share

Under a load that oscillates above capacity, jobs were held until their answer was of no use, late ones took endpoints from those that could still end in time, and a returned job moved only once.

A job moves up to three times and is offered on after two refusals. Waiting jobs of a route or data centre that got less of what it was owed go first. Offers carry the data centre of the caller's entry.

LoadWorld plays several entries, data centres, endpoint sizes and an oscillating load.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -19,6 +19,7 @@
         local_load::LocalLoad,
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
         run_proof::RunProof,
+        service_shares::ServiceShares,
     },
     prelude::*,
 };
@@ -142,6 +143,8 @@
     pub(super) closed_runs: IndexMap<(EndpointName, TaskRef), ClosedRun>,
     pub(super) times: RouteTimes,
     pub(super) local_load: LocalLoad,
+    /// Value served lately, by route and by the data centre of the callers.
+    pub(super) shares: ServiceShares,
     /// Factor on the run time of a task outside the rack of its data, in thousandths.
     pub(super) off_rack_milli: u64,
     /// Whether every endpoint that a former leader may have used is known.
@@ -179,6 +182,7 @@
             closed_runs: IndexMap::new(),
             times: RouteTimes::default(),
             local_load: LocalLoad::default(),
+            shares: ServiceShares::default(),
             off_rack_milli: OFF_RACK_MILLI,
             endpoints_are_known,
             done_before_offer: IndexMap::new(),
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -6,6 +6,7 @@
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_state::RunPhase,
         job_offer::{JobCode, JobOffer, JobResult, RefusalCause, TaskRef},
+        service_shares::ServiceOutcome,
     },
     prelude::*,
 };
@@ -61,7 +62,7 @@
                 return;
             }
             let wait_ms = wait_ms.max(self.fits_in_ms(&job, now));
-            if self.is_overloaded(&job, wait_ms, now) {
+            if self.must_return(&job, wait_ms, now) {
                 self.return_to_origin(&job, wait_ms, now);
                 return;
             }
@@ -169,6 +170,7 @@
         .with("waited_ms", now.since_ms(job.arrived_at))
         .with("jobs", self.jobs.len() as u64);
         self.log_decision(record);
+        self.shares.record(&job.offer.route, &job.offer.centre, ServiceOutcome::Unserved, now);
         self.reject_offer(job, JobResult::Refused(cause, retry_ms), now);
     }
 
@@ -278,6 +280,14 @@
             .with("age_ms", now.since_ms(job.arrived_at) + job.offer.age_ms)
             .with("late_ms", now.since_ms(job.due_at));
         self.log_decision(record);
+        let outcome = if now <= job.due_at {
+            ServiceOutcome::InTime
+        } else if now <= job.useful_until {
+            ServiceOutcome::Late
+        } else {
+            ServiceOutcome::Unserved
+        };
+        self.shares.record(&job.offer.route, &job.offer.centre, outcome, now);
         self.results.insert(code, result.clone());
         self.result_times.push_back((now, CachedResult::End(code)));
         self.effects.push(CellEffect::ReportResult(job.origin, code, job.offer.number, result));
--- a/lib/src/cell/dispatch_waits.rs
+++ b/lib/src/cell/dispatch_waits.rs
@@ -13,6 +13,18 @@
 /// Maximum number of jobs at a leader, so that a burst does not exhaust memory.
 const MAX_JOBS: usize = 4_096;
 
+/// Part of its objective after which an overloaded cell returns an unstarted job, in thousandths:
+/// newer jobs go first, so its chance to start decreases while another cell may have room.
+const RETURN_AFTER_MILLI: u64 = 80;
+
+/// Part of its objective after which an overloaded cell refuses an unstarted job that may not
+/// move, in thousandths: callers count a refusal after a quarter of the objective as a loss.
+const REFUSE_AFTER_MILLI: u64 = 240;
+
+/// Time between the decision to give a job back and its caller's answer, in ms: up to one tick
+/// before the decision, and the way back.
+const ANSWER_DELAY_MS: u64 = 12;
+
 /// Whether a job has begun, can still meet its objective, or can be of use at all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum RankGroup {
@@ -22,9 +34,10 @@
     Expired,
 }
 
-/// Rank of a job in the queue: its group, then its order within the group.
+/// Rank of a job in the queue: its group, the class of its route and callers' data centre, then
+/// its order within the class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct JobRank(RankGroup, u64);
+pub(super) struct JobRank(RankGroup, u64, u64);
 
 impl CellDispatcher {
     /// Returns the rank of a job; lower ranks are placed first.
@@ -32,20 +45,22 @@
     /// Jobs that have begun come first, by least slack, as their work would be lost. Of the
     /// others the newest comes first: by least slack, each would start so late under overload
     /// that most ended just after their objective. Those that can still end in time go before
-    /// the late ones, which use what room is left and are refused early.
+    /// the late ones, which use what room is left and are refused early. Under overload, jobs of
+    /// a route or data centre that got less of what it was owed go before the others.
     pub(super) fn rank(&self, job: &CellJob, now: ClockTime) -> JobRank {
         let critical_path_ms = self.critical_path_ms(job);
         let start_by = job.due_at.minus_ms(critical_path_ms);
+        let class = || self.shares.class(&job.offer.route, &job.offer.centre);
         let has_begun = job.tasks.iter().any(|it| it.phase != TaskPhase::Waiting);
         let useful_until = if has_begun { job.caller_deadline } else { job.useful_until };
         if useful_until < now.plus_ms(critical_path_ms) {
-            JobRank(RankGroup::Expired, start_by.0)
+            JobRank(RankGroup::Expired, 0, start_by.0)
         } else if has_begun {
-            JobRank(RankGroup::Begun, start_by.0)
+            JobRank(RankGroup::Begun, 0, start_by.0)
         } else if now <= start_by {
-            JobRank(RankGroup::InTime, u64::MAX - job.submitted_at().0)
+            JobRank(RankGroup::InTime, class(), u64::MAX - job.submitted_at().0)
         } else {
-            JobRank(RankGroup::Late, u64::MAX - start_by.0)
+            JobRank(RankGroup::Late, class(), u64::MAX - start_by.0)
         }
     }
 
@@ -136,13 +151,20 @@
             return Some(RefusalCause::QueueFull);
         }
         let end = now.plus_ms(wait_ms + self.critical_path_ms(job));
-        (job.caller_deadline.min(job.useful_until) < end).then_some(RefusalCause::Hopeless)
+        // Off its data's rack a job takes several times as long, so a late end here may be its best.
+        let is_final =
+            self.shares.is_overloaded() && !job.offer.may_move && job.offer.data_rack().is_none();
+        // A late answer has a fifth of its value and delays others that could end in time.
+        let limit = if is_final { job.due_at } else { job.useful_until };
+        let is_held = is_final && has_waited(job, REFUSE_AFTER_MILLI, now);
+        (is_held || job.caller_deadline.min(limit) < end).then_some(RefusalCause::Hopeless)
     }
 
-    /// Whether a job that may move would end too late here.
-    pub(super) fn is_overloaded(&self, job: &CellJob, wait_ms: u64, now: ClockTime) -> bool {
+    /// Whether a job that may move would end too late here, or waits while newer jobs start.
+    pub(super) fn must_return(&self, job: &CellJob, wait_ms: u64, now: ClockTime) -> bool {
         let end = now.plus_ms(wait_ms + self.critical_path_ms(job));
-        job.offer.may_move && !job.may_have_run && job.due_at < end
+        let is_overtaken = self.shares.is_overloaded() && has_waited(job, RETURN_AFTER_MILLI, now);
+        job.offer.may_move && !job.may_have_run && (is_overtaken || job.due_at < end)
     }
 
     /// Refuses unstarted jobs that can no longer end while their caller waits, and returns to
@@ -157,7 +179,7 @@
             // Without a usable endpoint the wait is unknown.
             let wait_ms = work.checked_div(cpu).unwrap_or(0);
             let cause = if job.may_have_run { None } else { self.refusal(job, wait_ms, now) };
-            if cause.is_some() || self.is_overloaded(job, wait_ms, now) {
+            if cause.is_some() || self.must_return(job, wait_ms, now) {
                 rejected.push((code, cause, wait_ms));
             } else {
                 work_ahead = work;
@@ -172,3 +194,11 @@
         }
     }
 }
+
+/// Whether a job has waited here, and since its submission for `part_milli` thousandths of its
+/// objective. An offer that has just arrived may still start at once.
+fn has_waited(job: &CellJob, part_milli: u64, now: ClockTime) -> bool {
+    let objective_ms = job.due_at.since_ms(job.submitted_at());
+    let limit_ms = (objective_ms * part_milli / 1000).saturating_sub(ANSWER_DELAY_MS);
+    job.arrived_at < now && limit_ms <= now.since_ms(job.submitted_at())
+}
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -120,6 +120,8 @@
     pub is_repeat: bool,
     /// Whether the leader may return it to its entry when other cells could end it sooner.
     pub may_move: bool,
+    /// Data centre of the entry to which its caller is connected.
+    pub centre: DataCentre,
 }
 
 impl JobOffer {
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -50,6 +50,8 @@
     pub was_offered: bool,
     /// Cells that refused it.
     pub refused_by: Vec<CellName>,
+    /// Number of times that it was moved to another cell.
+    pub n_moves: u32,
 }
 
 impl RoutedJob {
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -46,3 +46,4 @@
 pub mod route_plan;
 pub mod run_forecast;
 pub mod run_proof;
+pub mod service_shares;
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -12,6 +12,13 @@
     prelude::*,
 };
 
+/// Number of times that a job moves to another cell: each move costs a round trip, and by then
+/// most of a short job's slack is used up.
+const MAX_MOVES: u32 = 3;
+
+/// Number of refusals after which a job is offered to yet another cell.
+const MAX_REFUSALS: usize = 2;
+
 /// Run numbers of a task that are reserved for each leader to which its job is offered.
 const RUNS_PER_LEADER: u32 = 32;
 
@@ -36,7 +43,7 @@
                 .with("tasks", offer.steps.iter().map(|it| u64::from(it.count)).sum())
                 .with("plan_version", self.plan.as_ref().map_or(0, |it| it.version));
         self.log_decision(record);
-        let offer = JobOffer { may_move: true, ..offer };
+        let offer = JobOffer { may_move: true, centre: self.settings.centre.clone(), ..offer };
         let job = RoutedJob {
             call,
             received_at: now,
@@ -47,6 +54,7 @@
             unassigned_since: now,
             was_offered: false,
             refused_by: Vec::new(),
+            n_moves: 0,
             offer,
         };
         self.router.jobs.insert(code, job);
@@ -175,7 +183,10 @@
                 job.was_offered = false;
                 job.refused_by.push(cell.clone());
                 let may_fit_elsewhere = cause != RefusalCause::NeverFits;
-                if may_fit_elsewhere && job.refused_by.len() <= 1 && self.reroute(code, now) {
+                if may_fit_elsewhere
+                    && job.refused_by.len() <= MAX_REFUSALS
+                    && self.reroute(code, now)
+                {
                     return;
                 }
             }
@@ -192,18 +203,21 @@
     }
 
     /// Offers a job that its cell returned as overloaded to a cell that would end it sooner, or
-    /// else to the same cell again; either way it may not be returned a second time.
+    /// else to the same cell again, which may then not return it.
     fn move_job(&mut self, code: JobCode, wait_ms: u64, now: ClockTime) {
         let Some(job) = self.router.jobs.get_mut(&code) else { return };
         job.was_offered = false;
         job.leader = None;
         job.unassigned_since = now;
-        job.offer.may_move = false;
+        job.n_moves += 1;
+        job.offer.may_move = job.n_moves < MAX_MOVES;
         let off_rack_milli = self.settings.off_rack_milli;
         let cell = job_router::choose_move_target(job, off_rack_milli, wait_ms, &self.views, now);
         let outcome = if cell.is_some() { "moves" } else { "stays" };
         if cell.is_some() {
             job.cell = cell;
+        } else {
+            job.offer.may_move = false;
         }
         let subject = job.cell.as_ref().map(ToString::to_string).unwrap_or_default();
         let record =
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -66,6 +66,7 @@
         token: 0,
         is_repeat: false,
         may_move: false,
+        centre: DataCentre::from(""),
     }
 }
 
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -339,6 +339,7 @@
         token: 0,
         is_repeat: false,
         may_move: false,
+        centre: DataCentre::from(""),
     }
 }
 
--- a/lib/tests/test_load_patterns.rs
+++ b/lib/tests/test_load_patterns.rs
@@ -60,6 +60,7 @@
         token: 0,
         is_repeat: false,
         may_move: true,
+        centre: DataCentre::from(""),
     };
     RoutedJob {
         call: CallNumber(code),
@@ -72,6 +73,7 @@
         unassigned_since: NOW,
         was_offered: false,
         refused_by: Vec::new(),
+        n_moves: 0,
     }
 }
 
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -395,6 +395,7 @@
                 token: 0,
                 is_repeat: false,
                 may_move: false,
+                centre: DataCentre::from(""),
             };
             let job = WorldJob {
                 offer,
--- a/testutils/tests/test_load_patterns.rs
+++ b/testutils/tests/test_load_patterns.rs
@@ -1,6 +1,6 @@
 //! Load patterns of heavy days, played on one entry in virtual time.
 
-use yuccamux_testutils::load_world::{LoadKind, LoadPlan, LoadWorld};
+use yuccamux_testutils::load_world::{LoadKind, LoadPlan, LoadSwing, LoadWorld};
 
 /// Four racks of eight endpoints with two places each; a third of the endpoints is quick.
 fn plan(kinds: Vec<LoadKind>) -> LoadPlan {
@@ -13,6 +13,7 @@
         n_peers: 0,
         span_ms: 12_000,
         kinds,
+        ..LoadPlan::default()
     }
 }
 
@@ -61,3 +62,50 @@
         }
     }
 }
+
+/// The load of three routes oscillates above what the endpoints can run; six entries in three
+/// data centres choose by reports that are some 100 ms old. Jobs that end late or wait long for
+/// a refusal cost what others could have gained.
+#[test]
+fn oscillating_overload_is_shared_and_refused_early() {
+    let kind = |route, per_s, n_tasks, work_ms, priority| LoadKind {
+        route,
+        per_s,
+        n_tasks,
+        work_ms,
+        cpu: 16_000,
+        priority,
+        racks: Vec::new(),
+    };
+    let plan = LoadPlan {
+        n_entries: 6,
+        n_centres: 3,
+        swing: Some(LoadSwing { share_milli: 550, period_ms: 15_000 }),
+        n_long_milli: 30,
+        n_racks: 6,
+        n_endpoints: 20,
+        cpu: 32_000,
+        sizes_milli: vec![1_000, 1_000, 1_500],
+        factors_milli: vec![1_000, 1_000, 770],
+        span_ms: 15_000,
+        kinds: vec![
+            kind("wide", 112.0, 8, 51, 0),
+            kind("long", 20.0, 4, 760, 2),
+            kind("small", 326.0, 2, 170, 1),
+        ],
+        ..LoadPlan::default()
+    };
+    for seed in 1..=2 {
+        let mut world = LoadWorld::new(seed, &plan);
+        world.run();
+        let outcomes = || world.outcomes.values().chain(world.centre_outcomes.values());
+        let n_jobs: u64 = world.outcomes.values().map(|it| it.n_jobs).sum();
+        let worth: u64 = world.outcomes.values().map(|it| it.worth_milli() * it.n_jobs).sum();
+        let mean_milli = worth / n_jobs;
+        assert!(720 <= mean_milli, "seed {seed}: mean {mean_milli}, {:?}", world.outcomes);
+        for it in outcomes() {
+            assert!(mean_milli * 8 / 10 <= it.worth_milli(), "seed {seed}: {it:?}");
+            assert!(it.n_held * 10 < it.n_jobs, "seed {seed}: {it:?}");
+        }
+    }
+}
--- a/testutils/tests/test_lost_starts.rs
+++ b/testutils/tests/test_lost_starts.rs
@@ -133,6 +133,7 @@
             token: 0,
             is_repeat: false,
             may_move: false,
+            centre: DataCentre::from(""),
         };
         self.jobs.push((JobCode(code), number));
         self.dispatcher.handle_offer(&origin(), offer, self.now);
