--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -47,3 +47,4 @@
 pub mod run_forecast;
 pub mod run_proof;
 pub mod service_shares;
+mod straggler_check;
