cell: decide on refusal and return by the forecast of a job's wait

Parts of the objective decided how long a job waited in an overloaded cell, which says nothing about whether it would still be served.

A cell learns over about a second the work that arrives by route and data centre, and the part of its capacity that jobs can use. A job behind unstarted ones whose arriving work uses up that rate is returned, or refused as Overtaken if it may not move; else its wait is the work ahead over the rate that is left. In a full cell a job without a data rack that can only end late is refused; elsewhere it may end late.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -20,6 +20,7 @@
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
         run_proof::RunProof,
         service_shares::ServiceShares,
+        wait_forecast::WorkRates,
     },
     prelude::*,
 };
@@ -151,6 +152,8 @@
     pub(super) local_load: LocalLoad,
     /// Value served lately, by route and by the data centre of the callers.
     pub(super) shares: ServiceShares,
+    /// Rates of arriving work and of capacity that becomes free, for the forecast of waits.
+    pub(super) rates: WorkRates,
     /// Factor on the run time of a task outside the rack of its data, in thousandths.
     pub(super) off_rack_milli: u64,
     /// Whether every endpoint that a former leader may have used is known.
@@ -189,6 +192,7 @@
             times: RouteTimes::default(),
             local_load: LocalLoad::default(),
             shares: ServiceShares::default(),
+            rates: WorkRates::default(),
             off_rack_milli: OFF_RACK_MILLI,
             endpoints_are_known,
             done_before_offer: IndexMap::new(),
--- a/lib/src/cell/dispatch_endpoints.rs
+++ b/lib/src/cell/dispatch_endpoints.rs
@@ -140,6 +140,7 @@
             self.poll(idx, now);
         }
         self.drop_gone(now);
+        self.update_rates(now);
         self.shed_waiting(now);
         self.needs_placement_pass = true;
         self.run_placement_pass(now);
--- a/lib/src/cell/dispatch_ends.rs
+++ b/lib/src/cell/dispatch_ends.rs
@@ -71,6 +71,7 @@
         let run_ms =
             (taken_ms * 1000 / self.locality_factor_milli(step.data_rack.as_deref())).max(1);
         let typical_ms = self.times.typical_ms(&job.offer.route, declared_ms);
+        self.rates.add_end(typical_ms * run.demand.cpu);
         let mean_milli = self.mean_factor_milli(now);
         let Some(endpoint) = self.endpoints.get_mut(name) else { return };
         let factor_milli = endpoint.speed.factor_milli(now) * 1000 / mean_milli;
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -7,6 +7,7 @@
         endpoint_state::RunPhase,
         job_offer::{JobCode, JobOffer, JobResult, RefusalCause, TaskRef},
         service_shares::ServiceOutcome,
+        wait_forecast::WaitForecast,
     },
     prelude::*,
 };
@@ -54,16 +55,22 @@
             let work = self.times.work(&job.offer);
             self.local_load.add(work, now);
         }
+        self.count_arrival(&job, now);
         self.adopt_runs(&mut job, now);
         if !job.may_have_run {
-            let wait_ms = self.wait_ms(&job, now);
-            if let Some(cause) = self.refusal(&job, wait_ms, now) {
-                self.refuse(&job, cause, wait_ms, now);
+            let forecast = self.forecast(&job, now);
+            if let Some(cause) = self.refusal(&job, forecast, now) {
+                self.refuse(&job, cause, self.capacity_in_ms(forecast), now);
                 return;
             }
-            let wait_ms = wait_ms.max(self.fits_in_ms(&job, now));
-            if self.must_return(&job, wait_ms, now) {
-                self.return_to_origin(&job, wait_ms, now);
+            let forecast = match forecast {
+                WaitForecast::Starts(wait_ms) => {
+                    WaitForecast::Starts(wait_ms.max(self.fits_in_ms(&job, now)))
+                }
+                WaitForecast::Overtaken => forecast,
+            };
+            if self.must_return(&job, forecast, now) {
+                self.return_to_origin(&job, self.capacity_in_ms(forecast), now);
                 return;
             }
         }
--- a/lib/src/cell/dispatch_waits.rs
+++ b/lib/src/cell/dispatch_waits.rs
@@ -6,6 +6,7 @@
         cell_placement,
         endpoint_state::EndpointState,
         job_offer::{JobCode, RefusalCause},
+        wait_forecast::WaitForecast,
     },
     prelude::*,
 };
@@ -13,17 +14,9 @@
 /// Maximum number of jobs at a leader, so that a burst does not exhaust memory.
 const MAX_JOBS: usize = 4_096;
 
-/// Part of its objective after which an overloaded cell returns an unstarted job, in thousandths:
-/// newer jobs go first, so its chance to start decreases while another cell may have room.
-const RETURN_AFTER_MILLI: u64 = 80;
-
-/// Part of its objective after which an overloaded cell refuses an unstarted job that may not
-/// move, in thousandths: callers count a refusal after a quarter of the objective as a loss.
-const REFUSE_AFTER_MILLI: u64 = 240;
-
-/// Time between the decision to give a job back and its caller's answer, in ms: up to one tick
-/// before the decision, and the way back.
-const ANSWER_DELAY_MS: u64 = 12;
+/// Time after which a job whose turn does not come may try again, in ms: the window of the rates
+/// by which that was found.
+const OVERTAKEN_WAIT_MS: u64 = 1_000;
 
 /// Whether a job has begun, can still meet its objective, or can be of use at all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -84,14 +77,43 @@
         usable.map(|it| it.record.capacity.cpu).sum()
     }
 
-    /// Predicted wait of a job behind those of lower or equal rank, in ms.
-    pub(super) fn wait_ms(&self, job: &CellJob, now: ClockTime) -> u64 {
+    /// Counts the work of an arriving job that goes before those that wait.
+    pub(super) fn count_arrival(&mut self, job: &CellJob, now: ClockTime) {
+        if self.rank(job, now).0 == RankGroup::InTime {
+            let work = self.times.work(&job.offer);
+            self.rates.add_arrival(&job.offer.route, &job.offer.centre, work, now);
+        }
+    }
+
+    /// Updates the rates at which work arrives and capacity becomes free.
+    pub(super) fn update_rates(&mut self, now: ClockTime) {
+        self.shares.decay(now);
+        let has_waiting = self.jobs.values().any(CellJob::has_waiting_tasks);
+        self.rates.update(self.usable_cpu(now), has_waiting, &self.shares, now);
+    }
+
+    /// Predicted wait of an arriving job.
+    pub(super) fn forecast(&self, job: &CellJob, now: ClockTime) -> WaitForecast {
         let rank = self.rank(job, now);
-        let ahead =
-            self.jobs.values().filter(|it| it.has_waiting_tasks() && self.rank(it, now) <= rank);
-        let work: u64 = ahead.map(|it| self.waiting_work(it)).sum();
-        // Without a usable endpoint the wait is unknown.
-        work.checked_div(self.usable_cpu(now)).unwrap_or(0)
+        let (mut work_ahead, mut overtaking) = (0, 0);
+        for other in self.jobs.values().filter(|it| it.has_waiting_tasks()) {
+            let other_rank = self.rank(other, now);
+            let work = if other_rank <= rank { self.waiting_work(other) } else { 0 };
+            work_ahead += work;
+            if other_rank < rank && RankGroup::Begun < other_rank.0 {
+                overtaking += work;
+            }
+        }
+        let (route, centre) = (&job.offer.route, &job.offer.centre);
+        self.rates.forecast(route, centre, work_ahead, overtaking, self.usable_cpu(now))
+    }
+
+    /// Time until capacity is expected for a job with this forecast, in ms.
+    pub(super) fn capacity_in_ms(&self, forecast: WaitForecast) -> u64 {
+        match forecast {
+            WaitForecast::Starts(wait_ms) => wait_ms,
+            WaitForecast::Overtaken => OVERTAKEN_WAIT_MS,
+        }
     }
 
     /// Predicted time until a job's first steps fit beside the jobs of lower rank, in ms.
@@ -133,11 +155,11 @@
         if is_remote { self.off_rack_milli } else { 1_000 }
     }
 
-    /// Returns why an unstarted job that would wait `wait_ms` must be refused, if it must.
+    /// Returns why an unstarted job with this forecast must be refused, if it must.
     pub(super) fn refusal(
         &self,
         job: &CellJob,
-        wait_ms: u64,
+        forecast: WaitForecast,
         now: ClockTime,
     ) -> Option<RefusalCause> {
         if self.endpoints.values().all(|it| it.departed_at.is_some()) {
@@ -150,39 +172,58 @@
         if MAX_JOBS <= self.jobs.len() {
             return Some(RefusalCause::QueueFull);
         }
+        let wait_ms = match forecast {
+            WaitForecast::Starts(wait_ms) => wait_ms,
+            WaitForecast::Overtaken => 0,
+        };
         let end = now.plus_ms(wait_ms + self.critical_path_ms(job));
-        // Off its data's rack a job takes several times as long, so a late end here may be its best.
-        let is_final =
-            self.shares.is_overloaded() && !job.offer.may_move && job.offer.data_rack().is_none();
-        // A late answer has a fifth of its value and delays others that could end in time.
-        let limit = if is_final { job.due_at } else { job.useful_until };
-        let is_held = is_final && has_waited(job, REFUSE_AFTER_MILLI, now);
-        (is_held || job.caller_deadline.min(limit) < end).then_some(RefusalCause::Hopeless)
+        if job.caller_deadline.min(job.useful_until) < end {
+            return Some(RefusalCause::Hopeless);
+        }
+        // Off its data's rack a job takes several times as long, so a late end may be its best.
+        if job.offer.may_move || job.offer.data_rack().is_some() {
+            return None;
+        }
+        // A late answer has a fifth of its value and takes room from one that can be in time.
+        let is_late = self.rates.is_full() && job.due_at < end;
+        (is_late || forecast == WaitForecast::Overtaken).then_some(RefusalCause::Overtaken)
     }
 
-    /// Whether a job that may move would end too late here, or waits while newer jobs start.
-    pub(super) fn must_return(&self, job: &CellJob, wait_ms: u64, now: ClockTime) -> bool {
-        let end = now.plus_ms(wait_ms + self.critical_path_ms(job));
-        let is_overtaken = self.shares.is_overloaded() && has_waited(job, RETURN_AFTER_MILLI, now);
-        job.offer.may_move && !job.may_have_run && (is_overtaken || job.due_at < end)
+    /// Whether a job that may move would end too late here, or its turn would not come.
+    pub(super) fn must_return(
+        &self,
+        job: &CellJob,
+        forecast: WaitForecast,
+        now: ClockTime,
+    ) -> bool {
+        let is_late = match forecast {
+            WaitForecast::Starts(wait_ms) => {
+                job.due_at < now.plus_ms(wait_ms + self.critical_path_ms(job))
+            }
+            WaitForecast::Overtaken => true,
+        };
+        job.offer.may_move && !job.may_have_run && is_late
     }
 
-    /// Refuses unstarted jobs that can no longer end while their caller waits, and returns to
-    /// their entries those that may move and would end too late.
+    /// Refuses unstarted jobs that can no longer end while their caller waits or whose turn does
+    /// not come, and returns to their entries those that may move and would end too late.
     pub(super) fn shed_waiting(&mut self, now: ClockTime) {
         let cpu = self.usable_cpu(now);
-        let mut work_ahead = 0;
+        let (mut work_ahead, mut overtaking) = (0, 0);
         let mut rejected = Vec::new();
-        for (_, code) in self.ranked_waiting(now) {
+        for (rank, code) in self.ranked_waiting(now) {
             let job = &self.jobs[&code];
-            let work = work_ahead + self.waiting_work(job);
-            // Without a usable endpoint the wait is unknown.
-            let wait_ms = work.checked_div(cpu).unwrap_or(0);
-            let cause = if job.may_have_run { None } else { self.refusal(job, wait_ms, now) };
-            if cause.is_some() || self.must_return(job, wait_ms, now) {
-                rejected.push((code, cause, wait_ms));
-            } else {
-                work_ahead = work;
+            let work = self.waiting_work(job);
+            let (route, centre) = (&job.offer.route, &job.offer.centre);
+            let forecast = self.rates.forecast(route, centre, work_ahead + work, overtaking, cpu);
+            let cause = if job.may_have_run { None } else { self.refusal(job, forecast, now) };
+            if cause.is_some() || self.must_return(job, forecast, now) {
+                rejected.push((code, cause, self.capacity_in_ms(forecast)));
+                continue;
+            }
+            work_ahead += work;
+            if RankGroup::Begun < rank.0 {
+                overtaking += work;
             }
         }
         for (code, cause, wait_ms) in rejected {
@@ -194,11 +235,3 @@
         }
     }
 }
-
-/// Whether a job has waited here, and since its submission for `part_milli` thousandths of its
-/// objective. An offer that has just arrived may still start at once.
-fn has_waited(job: &CellJob, part_milli: u64, now: ClockTime) -> bool {
-    let objective_ms = job.due_at.since_ms(job.submitted_at());
-    let limit_ms = (objective_ms * part_milli / 1000).saturating_sub(ANSWER_DELAY_MS);
-    job.arrived_at < now && limit_ms <= now.since_ms(job.submitted_at())
-}
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -174,12 +174,14 @@
     NoEndpoint,
     /// Some step fits on no endpoint, even an idle one.
     NeverFits,
-    /// It could not end while its caller waits and the answer is of use.
+    /// It could not end by its caller's deadline, or not while its answer is of use.
     Hopeless,
     /// The leader's queue is full.
     QueueFull,
     /// No leader of a suitable cell can be reached.
     NoLeader,
+    /// Jobs that go before it need all the capacity until it could only end late.
+    Overtaken,
 }
 
 /// Result of an offered job.
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -48,3 +48,4 @@
 pub mod run_proof;
 pub mod service_shares;
 mod straggler_check;
+pub mod wait_forecast;
