cell: bound how long a route gets nothing under overload

Routes started with four jobs that counted as served, so a rare route that got nothing could stay above a low mean share and never go first. The four now count with the mean share.

--- a/lib/src/cell/service_shares.rs
+++ b/lib/src/cell/service_shares.rs
@@ -11,12 +11,22 @@
 const LATE_MILLI: u64 = 200;
 /// Half-life of the counts, in ms.
 const HALF_LIFE_MS: u64 = 1_000;
-/// Weight of jobs that are assumed to have been served, in thousandths of a job.
+/// Weight of the jobs that are assumed to have got the mean share, in thousandths of a job. A rare
+/// route that got nothing would never fall below the mean if they were assumed to have been served.
 const PRIOR_MILLI: u64 = 4_000;
-/// The cell counts as overloaded while the mean share is below this, in thousandths.
+/// The cell counts as overloaded from a mean share below this, in thousandths: of 100 callers, 3
+/// got nothing, or 4 a late answer.
 const OVERLOAD_BELOW_MILLI: u64 = 970;
-/// Difference of shares that changes the order, in thousandths.
-const CLASS_MILLI: u64 = 25;
+/// The overload ends once the mean share is above this, in thousandths, so that the order doesn't
+/// change with each job.
+const OVERLOAD_ENDS_MILLI: u64 = 985;
+/// Longest time for which the jobs of a route or data centre get nothing while others are served,
+/// if at least ten a second arrive and can start, in ms: also after a time in which all of them
+/// were served, a share falls below the mean of one served job in four within three half-lives.
+pub const STARVATION_BOUND_MS: u64 = 3 * HALF_LIFE_MS;
+/// Difference of shares that changes the order, in thousandths. With 25, small differences decided
+/// and less was served in all.
+const CLASS_MILLI: u64 = 75;
 
 /// How a job ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,8 +57,8 @@
         self.served /= 2;
     }
 
-    fn share_milli(&self) -> u64 {
-        (self.served + PRIOR_MILLI) * 1000 / (self.owed + PRIOR_MILLI)
+    fn share_milli(&self, mean_milli: u64) -> u64 {
+        (self.served * 1000 + PRIOR_MILLI * mean_milli) / (self.owed + PRIOR_MILLI)
     }
 }
 
@@ -58,6 +68,7 @@
     routes: IndexMap<String, ShareCount>,
     centres: IndexMap<DataCentre, ShareCount>,
     total: ShareCount,
+    is_overloaded: bool,
     halved_at: ClockTime,
 }
 
@@ -82,6 +93,7 @@
         self.routes[route].record(value_milli);
         self.centres.entry(centre.clone()).or_default().record(value_milli);
         self.total.record(value_milli);
+        self.update_overload();
     }
 
     /// Reduces the weight of former jobs.
@@ -98,11 +110,18 @@
         }
         self.routes.retain(|_, it| 0 < it.owed);
         self.centres.retain(|_, it| 0 < it.owed);
+        self.update_overload();
+    }
+
+    fn update_overload(&mut self) {
+        let share_milli = self.total.share_milli(1000);
+        let limit = if self.is_overloaded { OVERLOAD_ENDS_MILLI } else { OVERLOAD_BELOW_MILLI };
+        self.is_overloaded = share_milli < limit;
     }
 
     /// Whether callers have lately got clearly less than they were owed.
     pub fn is_overloaded(&self) -> bool {
-        self.total.share_milli() < OVERLOAD_BELOW_MILLI
+        self.is_overloaded
     }
 
     /// Class of a job by the shares of its route and of its callers' data centre: lower classes
@@ -111,8 +130,9 @@
         if !self.is_overloaded() {
             return 0;
         }
-        let mean_milli = self.total.share_milli();
-        let share = |count: Option<&ShareCount>| count.map_or(mean_milli, ShareCount::share_milli);
+        let mean_milli = self.total.share_milli(1000);
+        let share =
+            |count: Option<&ShareCount>| count.map_or(mean_milli, |it| it.share_milli(mean_milli));
         let route_milli = share(self.routes.get(route));
         let centre_milli = share(self.centres.get(centre));
         (route_milli + centre_milli) / CLASS_MILLI
