cell: serve returning callers first and spread retry delays

Retry-After was the predicted wait alone, so callers refused together came back as one wave, and were overtaken again by new ones.

The delay is the wait by the forecast with up to as much again by a hash of the job. Entries and leaders remember the jobs that they refused last, in bounded lists; such a job goes first in its class when it comes back (JobOffer::was_refused). The record of a job's first start names its real and its predicted wait.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     cell::{
@@ -102,6 +102,10 @@
     pub(super) may_have_run: bool,
     /// Whether its tasks have proved to take far longer than predicted.
     pub(super) is_long: bool,
+    /// Whether its caller was refused and has come back.
+    pub(super) has_returned: bool,
+    /// Wait that was predicted when it arrived, in ms.
+    pub(super) forecast_ms: u64,
 }
 
 impl CellJob {
@@ -145,6 +149,8 @@
     pub(super) results: IndexMap<JobCode, JobResult>,
     /// Results of rejected offers: a repeated offer must not run.
     pub(super) refusals: IndexMap<(VmName, JobCode, u64), JobResult>,
+    /// Jobs with a cached refusal: their callers go first when they come back.
+    pub(super) refused_jobs: IndexSet<JobCode>,
     pub(super) result_times: VecDeque<(ClockTime, CachedResult)>,
     /// Runs that counted as over lately, to report those that reappear.
     pub(super) closed_runs: IndexMap<(EndpointName, TaskRef), ClosedRun>,
@@ -187,6 +193,7 @@
             jobs: IndexMap::new(),
             results: IndexMap::new(),
             refusals: IndexMap::new(),
+            refused_jobs: IndexSet::new(),
             result_times: VecDeque::new(),
             closed_runs: IndexMap::new(),
             times: RouteTimes::default(),
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -1,5 +1,7 @@
 //! Job lifecycle at the leader: offers, adoption of runs, refusal, cancellation and results.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use crate::{
     cell::{
         cell_dispatcher::{CachedResult, CellDispatcher, CellEffect, CellJob, CellTask, TaskPhase},
@@ -73,6 +75,7 @@
                 self.return_to_origin(&job, self.capacity_in_ms(forecast), now);
                 return;
             }
+            job.forecast_ms = self.capacity_in_ms(forecast);
         }
         let is_done = job.n_left == 0;
         self.jobs.insert(code, job);
@@ -115,6 +118,8 @@
             tasks,
             may_have_run: offer.is_repeat,
             is_long: false,
+            has_returned: offer.was_refused || self.refused_jobs.contains(&offer.job),
+            forecast_ms: 0,
             offer,
         }
     }
@@ -173,7 +178,9 @@
         now: ClockTime,
     ) {
         check_invariant(Invariant::RefusalIsTrue, !job.may_have_run);
-        let retry_ms = wait_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1);
+        let retry_ms =
+            spread_wait(job.offer.job, wait_ms).clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1);
+        self.refused_jobs.insert(job.offer.job);
         let record = DecisionRecord::new(
             now,
             DecisionEvent::JobRefused,
@@ -316,9 +323,23 @@
             }
             match self.result_times.pop_front() {
                 Some((_, CachedResult::End(code))) => self.results.swap_remove(&code),
-                Some((_, CachedResult::Refusal(offer))) => self.refusals.swap_remove(&offer),
+                Some((_, CachedResult::Refusal(offer))) => {
+                    let result = self.refusals.swap_remove(&offer);
+                    if matches!(result, Some(JobResult::Refused(..))) {
+                        self.refused_jobs.swap_remove(&offer.1);
+                    }
+                    result
+                }
                 None => None,
             };
         }
     }
 }
+
+/// A wait with up to as much again by a hash of the job: callers that were refused together would
+/// otherwise come back as one wave.
+fn spread_wait(code: JobCode, wait_ms: u64) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    code.0.hash(&mut hasher);
+    wait_ms + wait_ms * (hasher.finish() % 1000) / 1000
+}
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -108,6 +108,8 @@
         check_invariant(Invariant::TaskStartsOnce, task.phase == TaskPhase::Waiting);
         task.last_run += 1;
         task.phase = TaskPhase::Placed(name.clone());
+        let waited_ms = (!job.may_have_run).then(|| now.since_ms(job.arrived_at));
+        let forecast_ms = job.forecast_ms;
         job.may_have_run = true;
         let demand = job.offer.steps[task.task.step as usize].demand;
         let run = EndpointRun {
@@ -133,6 +135,10 @@
             .with("predicted_ms", predicted_ms)
             .with("free_cpu", free.cpu)
             .with("age_ms", now.since_ms(job.arrived_at) + job.offer.age_ms);
+        let record = match waited_ms {
+            Some(waited_ms) => record.with("waited_ms", waited_ms).with("forecast_ms", forecast_ms),
+            None => record,
+        };
         self.send_order(name, lease_until, 0, body);
         self.log_decision(record);
     }
--- a/lib/src/cell/dispatch_waits.rs
+++ b/lib/src/cell/dispatch_waits.rs
@@ -27,10 +27,10 @@
     Expired,
 }
 
-/// Rank of a job in the queue: its group, the class of its route and callers' data centre, then
-/// its order within the class.
+/// Rank of a job in the queue: its group, the class of its route and callers' data centre, whether
+/// its caller has not been refused before, then its order within the class.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct JobRank(RankGroup, u64, u64);
+pub(super) struct JobRank(RankGroup, u64, bool, u64);
 
 impl CellDispatcher {
     /// Returns the rank of a job; lower ranks are placed first.
@@ -39,21 +39,23 @@
     /// others the newest comes first: by least slack, each would start so late under overload
     /// that most ended just after their objective. Those that can still end in time go before
     /// the late ones, which use what room is left and are refused early. Under overload, jobs of
-    /// a route or data centre that got less of what it was owed go before the others.
+    /// a route or data centre that got less of what it was owed go before the others. In each such
+    /// class, callers that were refused and have come back go first.
     pub(super) fn rank(&self, job: &CellJob, now: ClockTime) -> JobRank {
         let critical_path_ms = self.critical_path_ms(job);
         let start_by = job.due_at.minus_ms(critical_path_ms);
         let class = || self.shares.class(&job.offer.route, &job.offer.centre);
+        let is_new = !job.has_returned;
         let has_begun = job.tasks.iter().any(|it| it.phase != TaskPhase::Waiting);
         let useful_until = if has_begun { job.caller_deadline } else { job.useful_until };
         if useful_until < now.plus_ms(critical_path_ms) {
-            JobRank(RankGroup::Expired, 0, start_by.0)
+            JobRank(RankGroup::Expired, 0, true, start_by.0)
         } else if has_begun {
-            JobRank(RankGroup::Begun, 0, start_by.0)
+            JobRank(RankGroup::Begun, 0, true, start_by.0)
         } else if now <= start_by {
-            JobRank(RankGroup::InTime, class(), u64::MAX - job.submitted_at().0)
+            JobRank(RankGroup::InTime, class(), is_new, u64::MAX - job.submitted_at().0)
         } else {
-            JobRank(RankGroup::Late, class(), u64::MAX - start_by.0)
+            JobRank(RankGroup::Late, class(), is_new, u64::MAX - start_by.0)
         }
     }
 
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -122,6 +122,8 @@
     pub may_move: bool,
     /// Data centre of the entry to which its caller is connected.
     pub centre: DataCentre,
+    /// Whether this entry refused the job before: its caller has come back.
+    pub was_refused: bool,
 }
 
 impl JobOffer {
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -9,7 +9,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     cell::{
@@ -27,6 +27,9 @@
 /// Age beyond which a leader's report is ignored.
 const MAX_REPORT_AGE_MS: u64 = 1_500;
 
+/// Number of refused jobs after which the list of the former ones is dropped.
+const MAX_REFUSED_JOBS: usize = 2_048;
+
 /// A job whose caller waits at this entry.
 #[derive(Clone, Debug)]
 pub struct RoutedJob {
@@ -243,9 +246,25 @@
 pub struct JobRouter {
     /// The jobs by id.
     pub jobs: IndexMap<JobCode, RoutedJob>,
+    /// Jobs that were refused last, and those before them.
+    refused: IndexSet<JobCode>,
+    refused_before: IndexSet<JobCode>,
 }
 
 impl JobRouter {
+    /// Remembers that a job was refused, so that its caller goes first when it comes back.
+    pub fn remember_refusal(&mut self, code: JobCode) {
+        if MAX_REFUSED_JOBS <= self.refused.len() {
+            self.refused_before = std::mem::take(&mut self.refused);
+        }
+        self.refused.insert(code);
+    }
+
+    /// Whether this entry has lately refused a job.
+    pub fn was_refused(&self, code: JobCode) -> bool {
+        self.refused.contains(&code) || self.refused_before.contains(&code)
+    }
+
     /// The job that a call waits for.
     pub fn job_for_call(&self, call: CallNumber) -> Option<JobCode> {
         self.jobs.iter().find(|(_, it)| it.call == call).map(|(code, _)| *code)
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -43,7 +43,9 @@
                 .with("tasks", offer.steps.iter().map(|it| u64::from(it.count)).sum())
                 .with("plan_version", self.plan.as_ref().map_or(0, |it| it.version));
         self.log_decision(record);
-        let offer = JobOffer { may_move: true, centre: self.settings.centre.clone(), ..offer };
+        let centre = self.settings.centre.clone();
+        let was_refused = self.router.was_refused(code);
+        let offer = JobOffer { may_move: true, centre, was_refused, ..offer };
         let job = RoutedJob {
             call,
             received_at: now,
@@ -243,6 +245,9 @@
             JobResult::Refused(cause, _) => format!("refused: {cause:?}"),
             it => format!("{it:?}").to_lowercase(),
         };
+        if matches!(result, JobResult::Refused(..)) {
+            self.router.remember_refusal(code);
+        }
         let route = job.offer.route.as_str();
         let record = DecisionRecord::new(now, DecisionEvent::JobAnswered, route, outcome)
             .for_job(code)
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -67,6 +67,7 @@
         is_repeat: false,
         may_move: false,
         centre: DataCentre::from(""),
+        was_refused: false,
     }
 }
 
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -340,6 +340,7 @@
         is_repeat: false,
         may_move: false,
         centre: DataCentre::from(""),
+        was_refused: false,
     }
 }
 
--- a/lib/tests/test_load_patterns.rs
+++ b/lib/tests/test_load_patterns.rs
@@ -61,6 +61,7 @@
         is_repeat: false,
         may_move: true,
         centre: DataCentre::from(""),
+        was_refused: false,
     };
     RoutedJob {
         call: CallNumber(code),
--- a/lib/tests/test_stragglers.rs
+++ b/lib/tests/test_stragglers.rs
@@ -94,6 +94,7 @@
         is_repeat: false,
         may_move: false,
         centre: DataCentre::from(""),
+        was_refused: false,
     }
 }
 
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -396,6 +396,7 @@
                 is_repeat: false,
                 may_move: false,
                 centre: DataCentre::from(""),
+                was_refused: false,
             };
             let job = WorldJob {
                 offer,
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -530,6 +530,7 @@
             is_repeat: false,
             may_move: false,
             centre: DataCentre::from(""),
+            was_refused: false,
         };
         let objective_ms = work_ms * STRETCH_MILLI / 1000 + SLACK_MS;
         let patience_ms = PATIENCE_MS.max(4 * objective_ms);
--- a/testutils/tests/test_lost_starts.rs
+++ b/testutils/tests/test_lost_starts.rs
@@ -134,6 +134,7 @@
             is_repeat: false,
             may_move: false,
             centre: DataCentre::from(""),
+            was_refused: false,
         };
         self.jobs.push((JobCode(code), number));
         self.dispatcher.handle_offer(&origin(), offer, self.now);
