adapters: histogram of the error of wait forecasts

Nothing showed whether jobs are refused too early or held too long. yuccamux_cell_wait_error_seconds counts the predicted minus the real wait of jobs that started.

--- a/adapters/src/cell_metrics.rs
+++ b/adapters/src/cell_metrics.rs
@@ -14,6 +14,8 @@
 /// Bucket bounds of the time histograms, in seconds: from a short task to the time that
 /// callers wait at most.
 const TIME_BUCKETS_S: [f64; 12] = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
+/// Bucket bounds of the error of forecasts, in seconds: negative where a job waited for longer.
+const ERROR_BUCKETS_S: [f64; 9] = [-0.5, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.5];
 /// Routes with a label of their own; bounds the number of time series.
 const MAX_ROUTES: usize = 64;
 /// Label of the routes beyond [`MAX_ROUTES`].
@@ -76,6 +78,7 @@
     proofs: Family<ProofLabels, Counter>,
     stragglers: Family<CauseLabels, Counter>,
     discarded_ms: Counter,
+    wait_error: Histogram,
     jobs: Family<OutcomeLabels, Counter>,
     job_time: Family<RouteLabels, Histogram>,
     gauges: Family<NameLabels, Gauge>,
@@ -111,6 +114,12 @@
             "Run time of stopped runs whose tasks wait again, in ms",
             discarded_ms.clone(),
         );
+        let wait_error = Histogram::new(ERROR_BUCKETS_S);
+        registry.register(
+            "wait_error_seconds",
+            "Predicted minus real wait in a cell's queue of jobs that started",
+            wait_error.clone(),
+        );
         registry.register("jobs", "Jobs answered to callers", jobs.clone());
         registry.register(
             "job_seconds",
@@ -124,6 +133,7 @@
             proofs,
             stragglers,
             discarded_ms,
+            wait_error,
             jobs,
             job_time,
             gauges,
@@ -148,6 +158,13 @@
             DecisionEvent::TaskRequeued if record.outcome == "stopped" => {
                 self.discarded_ms.inc_by(input("ordered_ms").unwrap_or(0));
             }
+            DecisionEvent::TaskPlaced => {
+                if let (Some(forecast_ms), Some(waited_ms)) =
+                    (input("forecast_ms"), input("waited_ms"))
+                {
+                    self.wait_error.observe((forecast_ms as f64 - waited_ms as f64) / 1000.0);
+                }
+            }
             _ => {}
         }
         if record.event != DecisionEvent::JobAnswered {
