--- a/lib/tests/test_load_patterns.rs
+++ b/lib/tests/test_load_patterns.rs
@@ -5,7 +5,7 @@
     cell::{
         cell_message::{CellName, CellReport},
         job_offer::{JobCode, JobOffer, JobStep, ResourceAmount},
-        job_router::{self, CellView, RoutedJob},
+        job_router::{self, CellView, JobRouter, RoutedJob},
     },
     entry_node::CallNumber,
     prelude::*,
@@ -163,3 +163,15 @@
     let job = RoutedJob { refused_by: vec![cell("full")], ..job(1, None) };
     assert_eq!(job_router::choose_free_cell(&job, &views, NOW), Some(cell("kept")));
 }
+
+/// Callers that come back after a refusal must be known, without a list that grows for days.
+#[test]
+fn entry_remembers_the_jobs_that_it_refused_last() {
+    let mut router = JobRouter::default();
+    for code in 0..10_000 {
+        router.remember_refusal(JobCode(code));
+    }
+    assert!((8_000..10_000).all(|it| router.was_refused(JobCode(it))));
+    assert!(!(0..5_000).any(|it| router.was_refused(JobCode(it))));
+    assert!(!router.was_refused(JobCode(10_000)));
+}
