cell: routes beyond the bound use the shared arrival rate

Arrivals of routes beyond the 64 with a rate of their own were counted under a shared rate that no forecast looked up, so their jobs were never overtaken. The new test fails without the change.

--- a/lib/src/cell/wait_forecast.rs
+++ b/lib/src/cell/wait_forecast.rs
@@ -135,7 +135,11 @@
         overtaking: u64,
         cpu: u64,
     ) -> WaitForecast {
-        let flow = self.flows.iter().find(|((name, from), _)| name == route && from == centre);
+        let find = |route: &str, centre: &str| {
+            let mut flows = self.flows.iter();
+            flows.find(|((name, from), _)| name == route && from.as_str() == centre)
+        };
+        let flow = find(route, centre.as_str()).or_else(|| find("", ""));
         if 0 < overtaking && flow.is_some_and(|(_, it)| it.uses_all) {
             return WaitForecast::Overtaken;
         }
--- a/lib/tests/test_wait_forecast.rs
+++ b/lib/tests/test_wait_forecast.rs
@@ -94,6 +94,16 @@
     assert!(matches!(cell.forecast("a"), WaitForecast::Starts(_)));
 }
 
+/// Routes beyond those with a rate of their own would wait although their turn doesn't come.
+#[test]
+fn routes_beyond_the_bound_share_a_rate() {
+    let mut cell = RatedCell::default();
+    let names: Vec<String> = (0..200).map(|it| format!("route-{it}")).collect();
+    let loads: Vec<(&str, u64)> = names.iter().map(|it| (it.as_str(), 8)).collect();
+    cell.play(&loads, 1_500);
+    assert_eq!(cell.forecast("route-150"), WaitForecast::Overtaken);
+}
+
 fn offer(code: u64, declared_ms: u64) -> JobOffer {
     JobOffer {
         job: JobCode(code),
