--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     cell::{
@@ -20,6 +20,8 @@
         run_bounds::RunBounds,
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
         run_proof::RunProof,
+        service_shares::ServiceShares,
+        wait_forecast::WorkRates,
     },
     prelude::*,
 };
@@ -98,6 +100,10 @@
     pub(super) may_have_run: bool,
     /// Whether its tasks have proved to take far longer than predicted.
     pub(super) is_long: bool,
+    /// Whether its caller was refused and has come back.
+    pub(super) has_returned: bool,
+    /// Wait that was predicted when it arrived, in ms.
+    pub(super) forecast_ms: u64,
 }
 
 impl CellJob {
@@ -141,11 +147,17 @@
     pub(super) results: IndexMap<JobCode, JobResult>,
     /// Results of rejected offers: a repeated offer must not run.
     pub(super) refusals: IndexMap<(VmName, JobCode, u64), JobResult>,
+    /// Jobs with a cached refusal: their callers go first when they come back.
+    pub(super) refused_jobs: IndexSet<JobCode>,
     pub(super) result_times: VecDeque<(ClockTime, CachedResult)>,
     /// Runs that counted as over lately, to report those that reappear.
     pub(super) closed_runs: IndexMap<(EndpointName, TaskRef), ClosedRun>,
     pub(super) times: RouteTimes,
     pub(super) local_load: LocalLoad,
+    /// Value served lately, by route and by the data centre of the callers.
+    pub(super) shares: ServiceShares,
+    /// Rates of arriving work and of capacity that becomes free, for the forecast of waits.
+    pub(super) rates: WorkRates,
     /// Factor on the run time of a task outside the rack of its data, in thousandths.
     pub(super) off_rack_milli: u64,
     pub(super) bounds: RunBounds,
@@ -180,10 +192,13 @@
             jobs: IndexMap::new(),
             results: IndexMap::new(),
             refusals: IndexMap::new(),
+            refused_jobs: IndexSet::new(),
             result_times: VecDeque::new(),
             closed_runs: IndexMap::new(),
             times: RouteTimes::default(),
             local_load: LocalLoad::default(),
+            shares: ServiceShares::default(),
+            rates: WorkRates::default(),
             off_rack_milli: OFF_RACK_MILLI,
             bounds: RunBounds::default(),
             endpoints_are_known,
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -1,11 +1,15 @@
 //! Job lifecycle at the leader: offers, adoption of runs, refusal, cancellation and results.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use crate::{
     cell::{
         cell_dispatcher::{CachedResult, CellDispatcher, CellEffect, CellJob, CellTask, TaskPhase},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_state::RunPhase,
         job_offer::{JobCode, JobOffer, JobResult, RefusalCause, TaskRef},
+        service_shares::ServiceOutcome,
+        wait_forecast::WaitForecast,
     },
     prelude::*,
 };
@@ -65,18 +69,25 @@
             let work = self.times.work(&job.offer);
             self.local_load.add(work, now);
         }
+        self.count_arrival(&job, now);
         self.adopt_runs(&mut job, now);
         if !job.may_have_run {
-            let wait_ms = self.wait_ms(&job, now);
-            if let Some(cause) = self.refusal(&job, wait_ms, now) {
-                self.refuse(&job, cause, wait_ms, now);
+            let forecast = self.forecast(&job, now);
+            if let Some(cause) = self.refusal(&job, forecast, now) {
+                self.refuse(&job, cause, self.capacity_in_ms(forecast), now);
                 return;
             }
-            let wait_ms = wait_ms.max(self.fits_in_ms(&job, now));
-            if self.is_overloaded(&job, wait_ms, now) {
-                self.return_to_origin(&job, wait_ms, now);
+            let forecast = match forecast {
+                WaitForecast::Starts(wait_ms) => {
+                    WaitForecast::Starts(wait_ms.max(self.fits_in_ms(&job, now)))
+                }
+                WaitForecast::Overtaken => forecast,
+            };
+            if self.must_return(&job, forecast, now) {
+                self.return_to_origin(&job, self.capacity_in_ms(forecast), now);
                 return;
             }
+            job.forecast_ms = self.capacity_in_ms(forecast);
         }
         let is_done = job.n_left == 0;
         self.jobs.insert(code, job);
@@ -119,6 +130,8 @@
             tasks,
             may_have_run: offer.is_repeat,
             is_long: false,
+            has_returned: offer.was_refused || self.refused_jobs.contains(&offer.job),
+            forecast_ms: 0,
             offer,
         }
     }
@@ -177,7 +190,9 @@
         now: ClockTime,
     ) {
         check_invariant(Invariant::RefusalIsTrue, !job.may_have_run);
-        let retry_ms = wait_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1);
+        let retry_ms =
+            spread_wait(job.offer.job, wait_ms).clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1);
+        self.refused_jobs.insert(job.offer.job);
         let record = DecisionRecord::new(
             now,
             DecisionEvent::JobRefused,
@@ -190,6 +205,7 @@
         .with("waited_ms", now.since_ms(job.arrived_at))
         .with("jobs", self.jobs.len() as u64);
         self.log_decision(record);
+        self.shares.record(&job.offer.route, &job.offer.centre, ServiceOutcome::Unserved, now);
         self.reject_offer(job, JobResult::Refused(cause, retry_ms), now);
     }
 
@@ -326,6 +342,14 @@
             .with("age_ms", now.since_ms(job.arrived_at) + job.offer.age_ms)
             .with("late_ms", now.since_ms(job.due_at));
         self.log_decision(record);
+        let outcome = if now <= job.due_at {
+            ServiceOutcome::InTime
+        } else if now <= job.useful_until {
+            ServiceOutcome::Late
+        } else {
+            ServiceOutcome::Unserved
+        };
+        self.shares.record(&job.offer.route, &job.offer.centre, outcome, now);
         self.results.insert(code, result.clone());
         self.result_times.push_back((now, CachedResult::End(code)));
         self.effects.push(CellEffect::ReportResult(job.origin, code, job.offer.number, result));
@@ -338,9 +362,23 @@
             }
             match self.result_times.pop_front() {
                 Some((_, CachedResult::End(code))) => self.results.swap_remove(&code),
-                Some((_, CachedResult::Refusal(offer))) => self.refusals.swap_remove(&offer),
+                Some((_, CachedResult::Refusal(offer))) => {
+                    let result = self.refusals.swap_remove(&offer);
+                    if matches!(result, Some(JobResult::Refused(..))) {
+                        self.refused_jobs.swap_remove(&offer.1);
+                    }
+                    result
+                }
                 None => None,
             };
         }
     }
 }
+
+/// A wait with up to as much again by a hash of the job: callers that were refused together would
+/// otherwise come back as one wave.
+fn spread_wait(code: JobCode, wait_ms: u64) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    code.0.hash(&mut hasher);
+    wait_ms + wait_ms * (hasher.finish() % 1000) / 1000
+}
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -120,6 +120,10 @@
     pub is_repeat: bool,
     /// Whether the leader may return it to its entry when other cells could end it sooner.
     pub may_move: bool,
+    /// Data centre of the entry to which its caller is connected.
+    pub centre: DataCentre,
+    /// Whether this entry refused the job before: its caller has come back.
+    pub was_refused: bool,
 }
 
 impl JobOffer {
@@ -172,12 +176,14 @@
     NoEndpoint,
     /// Some step fits on no endpoint, even an idle one.
     NeverFits,
-    /// It could not end while its caller waits and the answer is of use.
+    /// It could not end by its caller's deadline, or not while its answer is of use.
     Hopeless,
     /// The leader's queue is full.
     QueueFull,
     /// No leader of a suitable cell can be reached.
     NoLeader,
+    /// Jobs that go before it need all the capacity until it could only end late.
+    Overtaken,
 }
 
 /// Result of an offered job.
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -48,5 +48,7 @@
 pub mod run_bounds;
 pub mod run_forecast;
 pub mod run_proof;
+pub mod service_shares;
 mod straggler_check;
 pub mod tolerance_watch;
+pub mod wait_forecast;
--- a/lib/tests/test_cell_node.rs
+++ b/lib/tests/test_cell_node.rs
@@ -341,6 +341,8 @@
         token: 0,
         is_repeat: false,
         may_move: false,
+        centre: DataCentre::from(""),
+        was_refused: false,
     }
 }
 
--- a/lib/tests/test_stragglers.rs
+++ b/lib/tests/test_stragglers.rs
@@ -93,6 +93,8 @@
         token: 0,
         is_repeat: false,
         may_move: false,
+        centre: DataCentre::from(""),
+        was_refused: false,
     }
 }
 
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -462,6 +462,8 @@
                 token: 0,
                 is_repeat: false,
                 may_move: false,
+                centre: DataCentre::from(""),
+                was_refused: false,
             };
             let job = WorldJob {
                 offer,
