--- a/testutils/src/bin/cell_load.rs
+++ b/testutils/src/bin/cell_load.rs
@@ -1,7 +1,8 @@
 //! `cell_load`: what the decisions of an entry that leads cells cost, and who is served.
 
 use argh::FromArgs;
-use yuccamux_testutils::load_world::{LoadKind, LoadPlan, LoadWorld};
+use indexmap::IndexMap;
+use yuccamux_testutils::load_world::{KindOutcome, LoadKind, LoadPlan, LoadShape, LoadWorld};
 
 /// Plays a load on one entry that leads a few cells; prints shares served and costs.
 #[derive(FromArgs, Debug)]
@@ -24,10 +25,82 @@
     /// seconds (20)
     #[argh(option, default = "20")]
     seconds: u64,
+    /// 16-core tasks on endpoints of 32 and 48 cores under a load that swings by 0.55 every 15 s
+    #[argh(switch)]
+    swing: bool,
+}
+
+/// Tasks of 16 cores within a fifth, on endpoints of 32 cores, one in three of 48: gaps of up
+/// to 6 cores remain beside two tasks. The load is the mean of the swing.
+fn swing_plan(args: &LoadArgs) -> LoadPlan {
+    let cores = (args.racks * args.endpoints) as f64 * 32.0 * (1.0 + 1.0 + 1.5) / 3.0;
+    let speed = (1.0 + 1.0 + 1.0 / 1.3) / 3.0;
+    // Jobs of seven times the work are 3 in 100.
+    let cores_at_100 = (181.0 * 8.0 * 0.051 + 33.0 * 4.0 * 0.76 + 528.0 * 2.0 * 0.17) * 16.0 * 1.18;
+    let scale = args.load as f64 / 100.0 * cores * speed / cores_at_100;
+    let kind = |route, per_s: f64, n_tasks, work_ms, priority, racks| LoadKind {
+        route,
+        per_s: per_s * scale,
+        n_tasks,
+        work_ms,
+        cpu: 16_000,
+        priority,
+        racks,
+    };
+    LoadPlan {
+        n_racks: args.racks,
+        n_endpoints: args.endpoints,
+        cpu: 32_000,
+        factors_milli: vec![1_000, 1_000, 1_300],
+        off_rack_milli: 3_000,
+        n_peers: args.peers,
+        span_ms: args.seconds * 1000,
+        kinds: vec![
+            kind("short", 181.0, 8, 51, 0, (0..args.racks).collect()),
+            kind("long", 33.0, 4, 760, 2, Vec::new()),
+            kind("small", 528.0, 2, 170, 1, Vec::new()),
+        ],
+        shape: LoadShape {
+            sizes_milli: vec![1000, 1000, 1500],
+            swing_milli: 550,
+            swing_ms: 15_000,
+            outlier_milli: 30,
+        },
+    }
 }
 
 fn main() {
     let args: LoadArgs = argh::from_env();
+    let plan = if args.swing { swing_plan(&args) } else { steady_plan(&args) };
+    let mut world = LoadWorld::new(args.seed, &plan);
+    world.run();
+    print_outcomes("", &world.outcomes);
+    print_outcomes("widest tenth of ", &world.wide_outcomes);
+    println!("used share of room: {} thousandths", world.used_milli());
+    for (cause, cost) in &world.costs {
+        println!("{cause}: {:.3} ms a second", cost.as_secs_f64() * 1e3 / args.seconds as f64);
+    }
+    println!("{} starts a second", world.n_starts / args.seconds);
+    println!("decisions: {:?}", world.notes);
+}
+
+fn print_outcomes(of: &str, outcomes: &IndexMap<&'static str, KindOutcome>) {
+    for (route, it) in outcomes {
+        println!(
+            "{of}{route}: {} jobs, {} in time, {} late, {} refused after {} ms on average, worth \
+             {} thousandths, last start after {} ms",
+            it.n_jobs,
+            it.n_in_time,
+            it.n_late,
+            it.n_refused,
+            it.refused_after_ms / it.n_refused.max(1),
+            it.worth_milli(),
+            it.mean_wait_ms()
+        );
+    }
+}
+
+fn steady_plan(args: &LoadArgs) -> LoadPlan {
     // A place is half an endpoint; jobs of the three kinds ask for places in a fixed mix.
     let scale = args.load as f64 / 100.0 * (args.racks * args.endpoints) as f64 * 2.0 / 500.0;
     let kind = |route, per_s: f64, n_tasks, work_ms, priority, racks| LoadKind {
@@ -39,7 +112,7 @@
         priority,
         racks,
     };
-    let plan = LoadPlan {
+    LoadPlan {
         n_racks: args.racks,
         n_endpoints: args.endpoints,
         cpu: 64_000,
@@ -52,21 +125,6 @@
             kind("long", 37.5, 4, 900, 2, Vec::new()),
             kind("middle", 600.0, 2, 200, 1, Vec::new()),
         ],
-    };
-    let mut world = LoadWorld::new(args.seed, &plan);
-    world.run();
-    for (route, it) in &world.outcomes {
-        println!(
-            "{route}: {} jobs, {} in time, {} late, {} refused after {} ms on average",
-            it.n_jobs,
-            it.n_in_time,
-            it.n_late,
-            it.n_refused,
-            it.refused_after_ms / it.n_refused.max(1)
-        );
-    }
-    for (cause, cost) in &world.costs {
-        println!("{cause}: {:.3} ms a second", cost.as_secs_f64() * 1e3 / args.seconds as f64);
+        shape: LoadShape::default(),
     }
-    println!("{} starts a second", world.n_starts / args.seconds);
 }
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -49,6 +49,28 @@
 /// Spread of the tasks of a job, in thousandths either way.
 const UNEVEN_MILLI: u64 = 250;
 
+/// Factor on the work of long outliers.
+const OUTLIER_FACTOR: u64 = 7;
+
+/// How endpoints differ in size and how the load varies over time.
+#[derive(Clone, Debug)]
+pub struct LoadShape {
+    /// Factors on the processor of endpoints, in thousandths, dealt out across their speeds.
+    pub sizes_milli: Vec<u64>,
+    /// Amplitude of the swing of all rates, in thousandths of the mean.
+    pub swing_milli: u64,
+    /// Period of the swing, in ms.
+    pub swing_ms: u64,
+    /// Share of jobs that take seven times as long, in thousandths. They declare so.
+    pub outlier_milli: u64,
+}
+
+impl Default for LoadShape {
+    fn default() -> LoadShape {
+        LoadShape { sizes_milli: vec![1000], swing_milli: 0, swing_ms: 1000, outlier_milli: 0 }
+    }
+}
+
 /// Jobs that are alike.
 #[derive(Clone, Debug)]
 pub struct LoadKind {
@@ -87,6 +109,8 @@
     pub span_ms: u64,
     /// The jobs.
     pub kinds: Vec<LoadKind>,
+    /// Sizes of endpoints, and the swing of the load.
+    pub shape: LoadShape,
 }
 
 /// What became of the jobs of a route.
@@ -106,9 +130,23 @@
     pub n_refused: u64,
     /// Sum over refused jobs of the time until they were told, in ms.
     pub refused_after_ms: u64,
+    /// Jobs that ended and were served.
+    pub n_ended: u64,
+    /// Sum over served jobs of the time from the request to the last start of a task, in ms.
+    pub wait_ms: u64,
 }
 
 impl KindOutcome {
+    /// Mean time from the request to the last start of a task of a served job, in ms.
+    pub fn mean_wait_ms(&self) -> u64 {
+        self.wait_ms / self.n_ended.max(1)
+    }
+
+    /// Share of the worth that was earned: one in time, a fifth late, in thousandths.
+    pub fn worth_milli(&self) -> u64 {
+        (self.n_in_time * 1000 + self.n_late * 200) / self.n_jobs.max(1)
+    }
+
     /// Share that ended within the objective, in thousandths.
     pub fn in_time_milli(&self) -> u64 {
         self.n_in_time * 1000 / self.n_jobs.max(1)
@@ -138,12 +176,18 @@
     objective_ms: u64,
     read_at: ClockTime,
     demand: ResourceAmount,
+    started_at: ClockTime,
+    is_wide: bool,
 }
 
 /// The world of a load.
 pub struct LoadWorld {
     /// What became of the jobs, by route.
     pub outcomes: IndexMap<&'static str, KindOutcome>,
+    /// What became of the widest tenth of each route's jobs, by processor of a task.
+    pub wide_outcomes: IndexMap<&'static str, KindOutcome>,
+    /// Processor time of runs while jobs came, in ms of thousandths of a core.
+    pub used_work: u64,
     /// Processor time of the entry's decisions, by what caused them.
     pub costs: IndexMap<&'static str, Duration>,
     /// Decisions by event.
@@ -199,6 +243,8 @@
         };
         let mut world = LoadWorld {
             outcomes: IndexMap::new(),
+            wide_outcomes: IndexMap::new(),
+            used_work: 0,
             costs: IndexMap::new(),
             notes: IndexMap::new(),
             n_starts: 0,
@@ -234,10 +280,12 @@
                 let rack_name = rack_name(rack);
                 let address = format!("10.0.{rack}.{idx}:1");
                 let born = ClockTime(1);
-                let record =
-                    endpoint(name.as_str(), address, "near", &rack_name, self.plan.cpu, born);
-                let mut runner = CellRunner::new(record, 5_000);
                 let factors = &self.plan.factors_milli;
+                let sizes = &self.plan.shape.sizes_milli;
+                let size_milli = sizes[(rack + idx / factors.len()) % sizes.len()];
+                let cpu = self.plan.cpu * size_milli / 1000;
+                let record = endpoint(name.as_str(), address, "near", &rack_name, cpu, born);
+                let mut runner = CellRunner::new(record, 5_000);
                 runner.factor_milli = factors[(rack + idx) % factors.len()];
                 self.runners.insert(name, runner);
             }
@@ -250,15 +298,38 @@
     }
 
     fn push_submit(&mut self, from: ClockTime, kind: usize) {
-        let per_s = self.plan.kinds[kind].per_s;
-        let uniform: f64 = self.rng.random_range(1e-9..1.0);
-        let gap_ms = (-uniform.ln() / per_s * 1000.0) as u64;
-        let at = from.plus_ms(gap_ms);
-        if at < self.jobs_end_at {
-            self.push(at, LoadEvent::Submit(kind));
+        let swing_milli = self.plan.shape.swing_milli;
+        let per_s = self.plan.kinds[kind].per_s * (1000 + swing_milli) as f64 / 1000.0;
+        let mut gap_ms = 0.0;
+        loop {
+            let uniform: f64 = self.rng.random_range(1e-9..1.0);
+            gap_ms += -uniform.ln() / per_s * 1000.0;
+            let at = from.plus_ms(gap_ms as u64);
+            if self.jobs_end_at <= at {
+                return;
+            }
+            // Arrivals at the highest rate are thinned to the rate of the moment.
+            if swing_milli == 0 || self.rng.random_range(0.0..1.0) < self.rate_share(at) {
+                self.push(at, LoadEvent::Submit(kind));
+                return;
+            }
         }
     }
 
+    /// Rate of the moment relative to the highest one.
+    fn rate_share(&self, at: ClockTime) -> f64 {
+        let shape = &self.plan.shape;
+        let swing = shape.swing_milli as f64 / 1000.0;
+        let turns = at.0 as f64 / shape.swing_ms as f64;
+        (1.0 + swing * (turns * std::f64::consts::TAU).sin()) / (1.0 + swing)
+    }
+
+    /// Share of the endpoints' processor that runs took while jobs came, in thousandths.
+    pub fn used_milli(&self) -> u64 {
+        let cpu: u64 = self.runners.values().map(|it| it.record.capacity.cpu).sum();
+        self.used_work * 1000 / (cpu * self.plan.span_ms).max(1)
+    }
+
     /// Plays until every job has had its time.
     pub fn run(&mut self) {
         let end = self.jobs_end_at.plus_ms(2 * PATIENCE_MS);
@@ -292,8 +363,7 @@
             LoadEvent::Submit(kind) => self.submit(kind),
             LoadEvent::GiveUp(call) => {
                 if let Some(code) = self.calls.swap_remove(&call) {
-                    let route = self.plan.kinds[self.jobs[&code].kind].route;
-                    self.outcomes.entry(route).or_default().n_given_up += 1;
+                    self.record_outcome(code, |it| it.n_given_up += 1);
                     self.act("withdraw", |node, now| node.cancel_call(call, now));
                 }
             }
@@ -357,9 +427,13 @@
         let call = CallNumber(code.0);
         let rack = (!load.racks.is_empty())
             .then(|| rack_name(load.racks[self.rng.random_range(0..load.racks.len())]));
-        let cpu = load.cpu * self.rng.random_range(800..1_200) / 1000;
+        let width_milli = self.rng.random_range(800..1_200);
+        let cpu = load.cpu * width_milli / 1000;
         let spread = WORK_SPREAD_MILLI;
         let work_ms = load.work_ms * self.rng.random_range(1000 - spread..1000 + spread) / 1000;
+        let outlier_milli = self.plan.shape.outlier_milli;
+        let is_outlier = 0 < outlier_milli && self.rng.random_range(0..1000) < outlier_milli;
+        let work_ms = if is_outlier { OUTLIER_FACTOR * work_ms } else { work_ms };
         let declared_ms = work_ms * self.rng.random_range(1000 - spread..1000 + spread) / 1000;
         let demand = ResourceAmount { cpu, mem_mb: 64, gpu: 0 };
         let step = JobStep {
@@ -393,8 +467,19 @@
         let patience_ms = PATIENCE_MS.max(4 * objective_ms);
         let offer = JobOffer { remaining_ms: patience_ms, ..offer };
         let read_at = self.now;
-        self.jobs.insert(code, LoadJob { kind, work_ms, rack, objective_ms, read_at, demand });
-        self.outcomes.entry(load.route).or_default().n_jobs += 1;
+        let is_wide = 1_160 <= width_milli;
+        let job = LoadJob {
+            kind,
+            work_ms,
+            rack,
+            objective_ms,
+            read_at,
+            demand,
+            started_at: read_at,
+            is_wide,
+        };
+        self.jobs.insert(code, job);
+        self.record_outcome(code, |it| it.n_jobs += 1);
         self.calls.insert(call, code);
         self.push(self.now.plus_ms(patience_ms), LoadEvent::GiveUp(call));
         self.act("submit", |node, now| node.submit(call, offer, now));
@@ -404,21 +489,45 @@
         let Some(code) = self.calls.swap_remove(&call) else { return };
         let job = &self.jobs[&code];
         let took_ms = self.now.since_ms(job.read_at);
-        let outcome = self.outcomes.entry(self.plan.kinds[job.kind].route).or_default();
-        match result {
-            JobResult::Completed if took_ms <= job.objective_ms => outcome.n_in_time += 1,
-            JobResult::Completed if took_ms <= 3 * job.objective_ms => outcome.n_late += 1,
-            JobResult::Completed => outcome.n_useless += 1,
+        let wait_ms = job.started_at.since_ms(job.read_at);
+        let objective_ms = job.objective_ms;
+        self.record_outcome(code, |outcome| match result {
+            JobResult::Completed => {
+                outcome.n_ended += 1;
+                outcome.wait_ms += wait_ms;
+                if took_ms <= objective_ms {
+                    outcome.n_in_time += 1;
+                } else if took_ms <= 3 * objective_ms {
+                    outcome.n_late += 1;
+                } else {
+                    outcome.n_useless += 1;
+                }
+            }
             JobResult::Refused(..) => {
                 outcome.n_refused += 1;
                 outcome.refused_after_ms += took_ms;
             }
             _ => {}
+        });
+    }
+
+    /// Records a job's outcome for its route and, if it is wide, for the widest tenth.
+    fn record_outcome(&mut self, code: JobCode, record: impl Fn(&mut KindOutcome)) {
+        let job = &self.jobs[&code];
+        let route = self.plan.kinds[job.kind].route;
+        record(self.outcomes.entry(route).or_default());
+        if job.is_wide {
+            record(self.wide_outcomes.entry(route).or_default());
         }
     }
 
     fn carry_out(&mut self, order: EndpointOrder) {
         let (demand, work_ms) = self.work_of(&order);
+        if let OrderBody::Start { task, .. } = &order.body
+            && let Some(job) = self.jobs.get_mut(&task.job)
+        {
+            job.started_at = self.now;
+        }
         let Some(runner) = self.runners.get_mut(&order.endpoint) else { return };
         let outcome = runner.carry_out(&order, demand, work_ms, self.now);
         if let OrderBody::Poll { wait_ms, .. } = &order.body
@@ -450,6 +559,11 @@
 
     fn tick_runners(&mut self) {
         let now = self.now;
+        let begun_at = self.jobs_end_at.minus_ms(self.plan.span_ms);
+        if begun_at <= now && now < self.jobs_end_at {
+            let runs = self.runners.values().flat_map(|it| it.runs.values());
+            self.used_work += runs.map(|it| it.demand.cpu).sum::<u64>() * TICK_MS;
+        }
         let ended: Vec<EndpointName> = self
             .runners
             .iter_mut()
--- a/testutils/tests/test_load_patterns.rs
+++ b/testutils/tests/test_load_patterns.rs
@@ -1,6 +1,6 @@
 //! Load patterns of heavy days, played on one entry in virtual time.
 
-use yuccamux_testutils::load_world::{LoadKind, LoadPlan, LoadWorld};
+use yuccamux_testutils::load_world::{LoadKind, LoadPlan, LoadShape, LoadWorld};
 
 /// Four racks of eight endpoints with two places each; a third of the endpoints is quick.
 fn plan(kinds: Vec<LoadKind>) -> LoadPlan {
@@ -13,6 +13,7 @@
         n_peers: 0,
         span_ms: 12_000,
         kinds,
+        shape: LoadShape::default(),
     }
 }
 
