cell: blocked tasks reserve endpoints, lower ranked ones are backfilled

A task that waited for a busy endpoint only kept a second one from waiting there. Lower ranked tasks took the CPU that came free, so that tasks of 19 cores on endpoints of 32 waited behind those of 13 until they were refused.

The end of a run counts as unknown half its estimate (30 to 250 ms) past it. At most two fifths of the endpoints are reserved, and only in passes in which a lower ranked task could start. For 30 s after a task was blocked, endpoints of like speed are chosen by the CPU that the task makes useless.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     cell::{
@@ -17,6 +17,7 @@
         endpoint_state::EndpointState,
         job_offer::{JobCode, JobOffer, JobResult, ResourceAmount, TaskRef},
         local_load::LocalLoad,
+        placement_timeline::DemandProfile,
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
         run_proof::RunProof,
     },
@@ -154,6 +155,12 @@
     pub(super) is_fenced: bool,
     pub(super) next_order: u64,
     pub(super) needs_placement_pass: bool,
+    /// Demands by which remainders of endpoints are rated.
+    pub(super) profile: DemandProfile,
+    /// Jobs that have held a reservation, which is logged once.
+    pub(super) reserved_jobs: IndexSet<JobCode>,
+    /// When a task last fitted on no endpoint.
+    pub(super) blocked_at: Option<ClockTime>,
     pub(super) effects: Vec<CellEffect>,
 }
 
@@ -186,6 +193,9 @@
             is_fenced: false,
             next_order: first_order,
             needs_placement_pass: false,
+            profile: DemandProfile::default(),
+            reserved_jobs: IndexSet::new(),
+            blocked_at: None,
             effects: Vec::new(),
         }
     }
--- a/lib/src/cell/decision_record.rs
+++ b/lib/src/cell/decision_record.rs
@@ -56,6 +56,10 @@
     JobWithdrawn = "job_withdrawn",
     /// A task was placed on an endpoint.
     TaskPlaced = "task_placed",
+    /// A job got its first reservation of an endpoint, as a task of it fits nowhere yet.
+    TaskReserved = "task_reserved",
+    /// A task started on an endpoint reserved for a task of a higher rank, which it does not delay.
+    TaskBackfilled = "task_backfilled",
     /// An order got no answer.
     OrderLost = "order_lost",
     /// A task was queued again; the outcome is the proof that its former run is over.
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -48,6 +48,7 @@
             self.effects.push(CellEffect::ReportResult(origin.clone(), code, offer.number, result));
             return;
         }
+        self.record_demands(&offer);
         let mut job = self.new_job(origin, offer, now);
         if self.is_data_local(&job.offer) {
             let work = self.times.work(&job.offer);
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -1,15 +1,14 @@
 //! Placement passes, starts, and requeueing of tasks whose runs are proved to be over.
 
-use indexmap::IndexSet;
-
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, ClosedRun, LEASE_MS, TaskPhase},
+        cell_dispatcher::{CellDispatcher, CellJob, ClosedRun, LEASE_MS, TaskPhase},
         cell_placement::{self, PlacementChoice, PlacementRequest},
         decision_record::{DecisionEvent, DecisionRecord},
         endpoint_order::OrderBody,
         endpoint_state::{EndpointRun, EndpointState, RunPhase},
-        job_offer::{JobCode, TaskRef},
+        job_offer::{JobCode, JobOffer, TaskRef},
+        placement_timeline::PlacementTimeline,
         run_proof::RunProof,
     },
     prelude::*,
@@ -26,6 +25,14 @@
 /// Maximum number of closed runs that are remembered.
 const MAX_CLOSED_RUNS: usize = 1_024;
 
+/// Time after a task was blocked for which endpoints of like speed are chosen by their
+/// remainder, in ms: longer than the swings of a load.
+const PACKING_MS: u64 = 30_000;
+
+/// Share of the endpoints that blocked tasks may reserve, in thousandths. With more, the widest
+/// tenth of jobs gains nothing further and the decisions cost more.
+const MAX_RESERVED_MILLI: usize = 400;
+
 impl CellDispatcher {
     /// Places waiting tasks in rank order, if anything has changed since the last pass.
     pub(super) fn run_placement_pass(&mut self, now: ClockTime) {
@@ -36,17 +43,52 @@
         if !self.endpoints.values().any(|it| it.accepts_starts(now)) {
             return;
         }
-        let mut reserved = IndexSet::new();
+        let mut timeline = PlacementTimeline::default();
         let mut largest = cell_placement::max_free_resources(&self.endpoints, now);
-        for (_, code) in self.ranked_waiting(now) {
-            let job = &self.jobs[&code];
+        let order = self.ranked_waiting(now);
+        let fits_now = |job: &CellJob| job.waiting_demands().any(|it| largest.fits(it));
+        // Reservations matter only to jobs of a lower rank that may start now.
+        let n_ranks =
+            order.iter().rposition(|(_, code)| fits_now(&self.jobs[code])).map_or(0, |it| it + 1);
+        if n_ranks < order.len() {
+            self.blocked_at = Some(now);
+        }
+        for (_, code) in &order[..n_ranks] {
+            let job = &self.jobs[code];
             let is_over = REPEAT_WAIT_MS <= now.since_ms(job.arrived_at);
             let may_start = are_known || is_over || !job.offer.is_repeat;
-            if may_start && job.waiting_demands().any(|it| largest.fits(it)) {
-                self.place_job(code, &mut reserved, now);
+            let may_reserve = timeline.n_reserved() < self.max_reservations();
+            let fits = job.waiting_demands().any(|it| largest.fits(it));
+            if !may_start || !(fits || may_reserve) {
+                continue;
+            }
+            let last_order = self.next_order;
+            self.place_job(*code, &mut timeline, now);
+            if last_order < self.next_order {
                 largest = cell_placement::max_free_resources(&self.endpoints, now);
             }
         }
+        self.record_reservations(&timeline, now);
+    }
+
+    /// Logs each job that holds a reservation for the first time.
+    fn record_reservations(&mut self, timeline: &PlacementTimeline, now: ClockTime) {
+        if timeline.n_reserved() == 0 {
+            return;
+        }
+        let jobs = &self.jobs;
+        self.reserved_jobs.retain(|it| jobs.contains_key(it));
+        for (name, reservation) in timeline.reservations() {
+            if !self.reserved_jobs.insert(reservation.job) {
+                continue;
+            }
+            let event = DecisionEvent::TaskReserved;
+            let record = DecisionRecord::new(now, event, name.as_str(), "blocked")
+                .for_job(reservation.job)
+                .with("starts_in_ms", reservation.starts_in_ms)
+                .with("spare_cpu", reservation.spare.cpu);
+            self.log_decision(record);
+        }
     }
 
     /// Whether every endpoint that a former leader may have used has listed its runs.
@@ -55,10 +97,18 @@
         self.endpoints_are_known && self.endpoints.values().all(is_known)
     }
 
+    /// Records the demands of an offer, by which remainders of endpoints are rated.
+    pub(super) fn record_demands(&mut self, offer: &JobOffer) {
+        let largest = self.endpoints.values().map(|it| it.record.capacity.cpu).max().unwrap_or(0);
+        for step in &offer.steps {
+            self.profile.record(step.demand.cpu, largest);
+        }
+    }
+
     pub(super) fn place_job(
         &mut self,
         code: JobCode,
-        reserved: &mut IndexSet<EndpointName>,
+        timeline: &mut PlacementTimeline,
         now: ClockTime,
     ) {
         let Some(job) = self.jobs.get(&code) else { return };
@@ -79,19 +129,58 @@
             let n_present = self.endpoints.values().filter(|it| it.departed_at.is_none()).count();
             let avoid = task.avoid.as_ref().filter(|_| 1 < n_present);
             let due_at = job.due_at;
-            let request = PlacementRequest { task: task.task, step, typical_ms, due_at, avoid };
-            match cell_placement::choose_endpoint(&request, &self.endpoints, reserved, now) {
+            let is_packed = self.blocked_at.is_some_and(|at| now.since_ms(at) < PACKING_MS);
+            let profile = is_packed.then_some(&self.profile);
+            let demand = step.demand;
+            let request =
+                PlacementRequest { task: task.task, step, typical_ms, due_at, avoid, profile };
+            let may_reserve = timeline.n_reserved() < self.max_reservations();
+            match cell_placement::choose_endpoint(&request, &self.endpoints, timeline, now) {
                 PlacementChoice::Start(name, predicted_ms) => {
                     self.start_task(code, idx, &name, predicted_ms, now);
+                    if timeline.record_start(&name, &demand, predicted_ms) {
+                        self.log_backfill(code, &name, predicted_ms, timeline, now);
+                    }
+                }
+                PlacementChoice::Wait(awaited) if may_reserve => {
+                    timeline.reserve(code, awaited);
                 }
-                PlacementChoice::Wait(name) => {
-                    reserved.insert(name);
+                PlacementChoice::Wait(awaited) => timeline.add_waiter(awaited.name),
+                PlacementChoice::Blocked(awaited) => {
+                    self.blocked_at = Some(now);
+                    if !may_reserve {
+                        return;
+                    }
+                    timeline.reserve(code, awaited);
                 }
                 PlacementChoice::Nowhere => return,
             }
         }
     }
 
+    /// Maximum number of endpoints that blocked tasks may reserve.
+    fn max_reservations(&self) -> usize {
+        (self.endpoints.len() * MAX_RESERVED_MILLI).div_ceil(1000)
+    }
+
+    fn log_backfill(
+        &mut self,
+        code: JobCode,
+        name: &EndpointName,
+        predicted_ms: u64,
+        timeline: &PlacementTimeline,
+        now: ClockTime,
+    ) {
+        let starts_in_ms = timeline.starts_in_ms(name).unwrap_or(0);
+        let outcome = if predicted_ms <= starts_in_ms { "ends before" } else { "fits beside" };
+        let record =
+            DecisionRecord::new(now, DecisionEvent::TaskBackfilled, name.as_str(), outcome)
+                .for_job(code)
+                .with("predicted_ms", predicted_ms)
+                .with("starts_in_ms", starts_in_ms);
+        self.log_decision(record);
+    }
+
     pub(super) fn start_task(
         &mut self,
         code: JobCode,
--- a/lib/src/cell/endpoint_state.rs
+++ b/lib/src/cell/endpoint_state.rs
@@ -30,6 +30,13 @@
 /// Limits the quarantine to 6.4 s, so that a recovered endpoint is soon used again.
 const MAX_QUARANTINE_DOUBLINGS: u32 = 4;
 
+/// Bounds of the time past its estimate after which the end of a run is unknown, in ms; between
+/// them it is half the estimate, as estimates are off by up to 0.4.
+const MIN_OVERRUN_MS: u64 = 30;
+const MAX_OVERRUN_MS: u64 = 250;
+/// Least expected time until a run past its estimate ends, in ms.
+const MIN_LEFT_MS: u64 = 10;
+
 /// Phase of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RunPhase {
@@ -70,6 +77,22 @@
     pub(crate) sent_at: ClockTime,
 }
 
+impl EndpointRun {
+    /// Expected time until it ends, in ms; none once it is too far past its estimate.
+    pub(crate) fn expected_left_ms(&self, now: ClockTime) -> Option<u64> {
+        if self.phase == RunPhase::Orphan {
+            return None;
+        }
+        let worked_ms = now.since_ms(self.ordered_at);
+        if worked_ms < self.predicted_ms {
+            return Some(self.predicted_ms - worked_ms);
+        }
+        let over_ms = worked_ms - self.predicted_ms;
+        let known_ms = (self.predicted_ms / 2).clamp(MIN_OVERRUN_MS, MAX_OVERRUN_MS);
+        (over_ms <= known_ms).then_some(over_ms.max(MIN_LEFT_MS))
+    }
+}
+
 /// A poll that is not answered yet.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PendingPoll {
@@ -165,18 +188,25 @@
         self.record.capacity.minus(&taken)
     }
 
-    /// Predicted time until `demand` fits, in ms, if it ever does.
-    pub(crate) fn fits_in_ms(&self, demand: &ResourceAmount, now: ClockTime) -> Option<u64> {
+    /// Expected time until `demand` fits, in ms, and what is then free in all. None if it does
+    /// not fit, or only once runs end whose end is unknown. `ends` is scratch space.
+    pub(crate) fn fits_in_ms(
+        &self,
+        demand: &ResourceAmount,
+        ends: &mut Vec<(u64, ResourceAmount)>,
+        now: ClockTime,
+    ) -> Option<(u64, ResourceAmount)> {
+        if !self.record.capacity.fits(demand) {
+            return None;
+        }
         let mut free = self.free_resources();
-        let mut ends: Vec<(u64, &ResourceAmount)> = self
-            .runs
-            .values()
-            .map(|it| (it.ordered_at.plus_ms(it.predicted_ms).since_ms(now), &it.demand))
-            .collect();
+        let runs = self.runs.values();
+        ends.clear();
+        ends.extend(runs.filter_map(|it| Some((it.expected_left_ms(now)?, it.demand))));
         ends.sort_unstable_by_key(|(left_ms, _)| *left_ms);
-        ends.into_iter().find_map(|(left_ms, taken)| {
+        ends.iter().find_map(|(left_ms, taken)| {
             free = free.plus(taken);
-            free.fits(demand).then_some(left_ms)
+            free.fits(demand).then_some((*left_ms, free))
         })
     }
 
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -43,6 +43,7 @@
 mod node_cells;
 mod node_heartbeats;
 mod node_peers;
+mod placement_timeline;
 pub mod route_plan;
 pub mod run_forecast;
 pub mod run_proof;
