--- a/lib/src/cell/decision_record.rs
+++ b/lib/src/cell/decision_record.rs
@@ -60,6 +60,8 @@
     TaskReserved = "task_reserved",
     /// A task started on an endpoint reserved for a task of a higher rank, which it does not delay.
     TaskBackfilled = "task_backfilled",
+    /// A run is far past its predicted time, for the cause that the outcome names.
+    RunStraggles = "run_straggles",
     /// An order got no answer.
     OrderLost = "order_lost",
     /// A task was queued again; the outcome is the proof that its former run is over.
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -47,3 +47,4 @@
 pub mod route_plan;
 pub mod run_forecast;
 pub mod run_proof;
+mod straggler_check;
