cell: rooms are kept for a placement pass, a step has one wait list

A pass reads the free resources, speed and acceptance of each endpoint once and again after a start there. The tasks of a step share one list of endpoints to wait for, and are not compared with the endpoints again once one of them fitted nowhere. A pass ends when no waiting task fits the largest room.

--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 
 use crate::{
     cell::{
@@ -17,7 +17,6 @@
         endpoint_state::EndpointState,
         job_offer::{JobCode, JobOffer, JobResult, ResourceAmount, TaskRef},
         local_load::LocalLoad,
-        placement_timeline::DemandProfile,
         run_forecast::{FAST_FACTOR_MILLI, RouteTimes},
         run_proof::RunProof,
     },
@@ -99,6 +98,8 @@
     pub(super) n_left: usize,
     /// Whether any of its tasks may have started.
     pub(super) may_have_run: bool,
+    /// Whether it has held a reservation, which is logged once.
+    pub(super) was_reserved: bool,
     /// Whether its tasks have proved to take far longer than predicted.
     pub(super) is_long: bool,
 }
@@ -161,12 +162,6 @@
     pub(super) is_fenced: bool,
     pub(super) next_order: u64,
     pub(super) needs_placement_pass: bool,
-    /// Demands by which remainders of endpoints are rated.
-    pub(super) profile: DemandProfile,
-    /// Jobs that have held a reservation, which is logged once.
-    pub(super) reserved_jobs: IndexSet<JobCode>,
-    /// When a task last fitted on no endpoint.
-    pub(super) blocked_at: Option<ClockTime>,
     pub(super) effects: Vec<CellEffect>,
 }
 
@@ -199,9 +194,6 @@
             is_fenced: false,
             next_order: first_order,
             needs_placement_pass: false,
-            profile: DemandProfile::default(),
-            reserved_jobs: IndexSet::new(),
-            blocked_at: None,
             effects: Vec::new(),
         }
     }
--- a/lib/src/cell/cell_placement.rs
+++ b/lib/src/cell/cell_placement.rs
@@ -2,8 +2,9 @@
 //!
 //! A task goes to the slowest endpoint that still ends it in time, which leaves fast endpoints
 //! to tasks with less slack. If none does, it goes where it ends soonest; that may be a busy
-//! endpoint, and then the task waits until enough resources are free there. While tasks have to
-//! wait, endpoints of like speed are chosen by the CPU that the task makes useless there.
+//! endpoint, and then the task waits until enough resources are free there.
+
+use std::cmp::Reverse;
 
 use indexmap::IndexMap;
 
@@ -11,7 +12,7 @@
     cell::{
         endpoint_state::EndpointState,
         job_offer::{JobStep, ResourceAmount, TaskRef},
-        placement_timeline::{DemandProfile, PlacementTimeline},
+        placement_timeline::{EndpointRoom, PlacementTimeline},
     },
     prelude::*,
 };
@@ -21,9 +22,6 @@
 /// Penalty for each whole core left free, in ms: small, so that best fit decides only between
 /// endpoints of nearly the same speed.
 const LEFTOVER_MS: u64 = 1;
-/// Endpoints count as equally fast if their predicted times differ by less than this many
-/// thousandths of the longer one: learned factors of like endpoints differ by a few percent.
-const LIKE_SPEED_MILLI: u64 = 100;
 /// Least gain of waiting for a busy endpoint, in ms: predictions are no more exact.
 const WAIT_GAIN_MS: u64 = 12;
 
@@ -39,115 +37,36 @@
     pub(crate) due_at: ClockTime,
     /// Endpoint on which it failed last.
     pub(crate) avoid: Option<&'a EndpointName>,
-    /// By which demands the remainders of endpoints of like speed are compared, if they are.
-    pub(crate) profile: Option<&'a DemandProfile>,
 }
 
 impl PlacementRequest<'_> {
     /// Predicted run time on an endpoint, in ms.
-    fn predicted_ms(&self, endpoint: &EndpointState, now: ClockTime) -> u64 {
-        (self.typical_ms * endpoint.speed.factor_milli(now) / 1000).max(1)
+    fn predicted_ms(&self, room: &EndpointRoom) -> u64 {
+        (self.typical_ms * room.factor_milli / 1000).max(1)
+    }
+
+    /// Whether the task may run on an endpoint that accepts starts.
+    fn allows(&self, name: &EndpointName, endpoint: &EndpointState) -> bool {
+        self.avoid != Some(name) && is_eligible(self, endpoint)
     }
 }
 
 /// Where a task should go.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum PlacementChoice {
-    /// To this endpoint now, with this predicted run time in ms.
-    Start(EndpointName, u64),
-    /// To this endpoint once enough resources are free there, which is sooner than elsewhere.
+    /// To the endpoint of this index now, with this predicted run time in ms.
+    Start(usize, u64),
+    /// To this endpoint once enough resources are free there.
     Wait(AwaitedEndpoint),
-    /// To this endpoint once enough resources are free there; it fits nowhere now.
-    Blocked(AwaitedEndpoint),
     /// No endpoint is available yet.
     Nowhere,
 }
 
-/// An endpoint on which a task may start now.
-#[derive(Clone, Copy)]
-struct StartCandidate<'a> {
-    name: &'a EndpointName,
-    predicted_ms: u64,
-    free: ResourceAmount,
-    is_in_time: bool,
-}
-
-/// Chooses the endpoint of a task beside the reservations of tasks of higher rank.
-pub(crate) fn choose_endpoint(
-    request: &PlacementRequest<'_>,
-    endpoints: &IndexMap<EndpointName, EndpointState>,
-    timeline: &PlacementTimeline,
-    now: ClockTime,
-) -> PlacementChoice {
-    let demand = &request.step.demand;
-    let mut candidates = Vec::new();
-    for (name, endpoint) in endpoints {
-        let free = endpoint.free_resources();
-        if !free.fits(demand) || !is_candidate(request, name, endpoint, now) {
-            continue;
-        }
-        if endpoint.speed.is_slow(now) && !endpoint.runs.is_empty() {
-            // One run at a time shows whether it has recovered.
-            continue;
-        }
-        let predicted_ms = request.predicted_ms(endpoint, now);
-        if !timeline.admits(name, request.task.job, demand, predicted_ms) {
-            continue;
-        }
-        let is_in_time = now.plus_ms(predicted_ms + DUE_MARGIN_MS) <= request.due_at;
-        candidates.push(StartCandidate { name, predicted_ms, free, is_in_time });
-    }
-    let in_time = candidates.iter().filter(|it| it.is_in_time);
-    // Among endpoints that end it in time: the slowest, then the one with the least left free.
-    let slowest =
-        in_time.rev().max_by_key(|it| (it.predicted_ms, u64::MAX - leftover(&it.free, demand)));
-    if let Some(chosen) = slowest {
-        let chosen = best_remainder(request, chosen, &candidates);
-        return PlacementChoice::Start(chosen.name.clone(), chosen.predicted_ms);
-    }
-    let end_ms =
-        |it: &&StartCandidate<'_>| it.predicted_ms + leftover(&it.free, demand) * LEFTOVER_MS;
-    let soonest = candidates.iter().min_by_key(end_ms);
-    let awaited = choose_awaited(request, endpoints, timeline, now);
-    match (soonest, awaited) {
-        (Some(soonest), Some(awaited)) if awaited.end_ms + WAIT_GAIN_MS < end_ms(&soonest) => {
-            PlacementChoice::Wait(awaited)
-        }
-        (Some(soonest), _) => {
-            let chosen = best_remainder(request, soonest, &candidates);
-            PlacementChoice::Start(chosen.name.clone(), chosen.predicted_ms)
-        }
-        (None, Some(awaited)) => PlacementChoice::Blocked(awaited),
-        (None, None) => PlacementChoice::Nowhere,
-    }
-}
-
-/// Among the candidates of like speed, the one where the task makes the least CPU useless.
-fn best_remainder<'a>(
-    request: &PlacementRequest<'_>,
-    chosen: &'a StartCandidate<'a>,
-    candidates: &'a [StartCandidate<'a>],
-) -> &'a StartCandidate<'a> {
-    let Some(profile) = request.profile else { return chosen };
-    let demand = &request.step.demand;
-    let is_like = |it: &&StartCandidate<'_>| {
-        let longer_ms = it.predicted_ms.max(chosen.predicted_ms);
-        it.is_in_time == chosen.is_in_time
-            && it.predicted_ms.abs_diff(chosen.predicted_ms) * 1000 <= longer_ms * LIKE_SPEED_MILLI
-    };
-    let wasted = |it: &&StartCandidate<'_>| {
-        let left = it.free.cpu - demand.cpu;
-        // What the free CPU wastes without the task is no loss by it.
-        (profile.waste(left) + profile.largest() - profile.waste(it.free.cpu), left)
-    };
-    candidates.iter().filter(is_like).min_by_key(wasted).unwrap_or(chosen)
-}
-
 /// A busy endpoint on which a task is expected to fit.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AwaitedEndpoint {
-    /// Its name.
-    pub(crate) name: EndpointName,
+    /// Its index.
+    pub(crate) index: usize,
     /// Expected time until the task fits, in ms.
     pub(crate) starts_in_ms: u64,
     /// Expected time until the task has ended, in ms.
@@ -156,59 +75,121 @@
     pub(crate) spare: ResourceAmount,
 }
 
-/// Returns the busy endpoint without a reservation on which the task would end soonest.
-fn choose_awaited(
+/// Endpoints that the tasks of a step may wait for. They have the same demand, so that one list
+/// per step and pass is enough.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitList {
+    step: Option<u32>,
+    /// The one on which a task would end soonest comes last.
+    awaited: Vec<AwaitedEndpoint>,
+    /// Whether the tasks fit nowhere.
+    is_blocked: bool,
+}
+
+impl WaitList {
+    /// Whether the tasks of a step are known to fit nowhere.
+    pub(crate) fn is_blocked(&self, step: u32) -> bool {
+        self.is_blocked && self.step == Some(step)
+    }
+
+    /// Lists the busy endpoints without a waiter.
+    fn build(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        endpoints: &IndexMap<EndpointName, EndpointState>,
+        timeline: &PlacementTimeline,
+        now: ClockTime,
+    ) {
+        let demand = &request.step.demand;
+        let mut ends = Vec::new();
+        self.step = Some(request.task.step);
+        self.is_blocked = false;
+        self.awaited.clear();
+        for (index, (room, endpoint)) in timeline.rooms().iter().zip(endpoints.values()).enumerate()
+        {
+            if !room.accepts_starts
+                || room.has_waiter()
+                || room.free.fits(demand)
+                || !is_eligible(request, endpoint)
+            {
+                continue;
+            }
+            let fits_in_ms = endpoint.fits_in_ms(demand, &mut ends, now);
+            let Some((starts_in_ms, free)) = fits_in_ms else { continue };
+            let end_ms = starts_in_ms + request.predicted_ms(room);
+            let spare = free.minus(demand);
+            self.awaited.push(AwaitedEndpoint { index, starts_in_ms, end_ms, spare });
+        }
+        self.awaited.sort_by_key(|it| Reverse(it.end_ms));
+    }
+
+    /// Position of the endpoint on which a task would end soonest.
+    fn position(
+        &self,
+        request: &PlacementRequest<'_>,
+        endpoints: &IndexMap<EndpointName, EndpointState>,
+    ) -> Option<usize> {
+        let name_of = |it: &AwaitedEndpoint| Some(endpoints.get_index(it.index)?.0);
+        self.awaited.iter().rposition(|it| request.avoid.is_none() || request.avoid != name_of(it))
+    }
+}
+
+/// Chooses the endpoint of a task beside the reservations of tasks of higher rank.
+pub(crate) fn choose_endpoint(
     request: &PlacementRequest<'_>,
     endpoints: &IndexMap<EndpointName, EndpointState>,
     timeline: &PlacementTimeline,
+    waits: &mut WaitList,
     now: ClockTime,
-) -> Option<AwaitedEndpoint> {
+) -> PlacementChoice {
     let demand = &request.step.demand;
-    let mut soonest: Option<(u64, u64, &EndpointName, ResourceAmount)> = None;
-    let mut ends = Vec::new();
-    for (name, endpoint) in endpoints {
-        if timeline.has_waiter(name)
-            || !is_candidate(request, name, endpoint, now)
-            || endpoint.free_resources().fits(demand)
+    // Among endpoints that end it in time: the slowest, then the one with the least left free.
+    let mut in_time: Option<(u64, u64, usize)> = None;
+    let mut soonest: Option<(u64, u64, usize)> = None;
+    let is_blocked = waits.is_blocked(request.task.step);
+    let rooms = timeline.rooms().iter().zip(endpoints).enumerate();
+    for (index, (room, (name, endpoint))) in rooms.filter(|_| !is_blocked) {
+        if !room.accepts_starts
+            || room.is_slow_and_busy
+            || !room.free.fits(demand)
+            || !request.allows(name, endpoint)
         {
             continue;
         }
-        let fits_in_ms = endpoint.fits_in_ms(demand, &mut ends, now);
-        let Some((starts_in_ms, free)) = fits_in_ms else { continue };
-        let end_ms = starts_in_ms + request.predicted_ms(endpoint, now);
+        let predicted_ms = request.predicted_ms(room);
+        if !room.admits(request.task.job, demand, predicted_ms) {
+            continue;
+        }
+        let left = leftover(&room.free, demand);
+        let end_ms = predicted_ms + left * LEFTOVER_MS;
         if soonest.is_none_or(|(known, ..)| end_ms < known) {
-            soonest = Some((end_ms, starts_in_ms, name, free.minus(demand)));
+            soonest = Some((end_ms, predicted_ms, index));
+        }
+        let is_in_time = now.plus_ms(predicted_ms + DUE_MARGIN_MS) <= request.due_at;
+        let rank = (predicted_ms, u64::MAX - left);
+        if is_in_time && in_time.is_none_or(|(ms, full, _)| (ms, full) < rank) {
+            in_time = Some((rank.0, rank.1, index));
         }
     }
-    let (end_ms, starts_in_ms, name, spare) = soonest?;
-    Some(AwaitedEndpoint { name: name.clone(), starts_in_ms, end_ms, spare })
-}
-
-fn is_candidate(
-    request: &PlacementRequest<'_>,
-    name: &EndpointName,
-    endpoint: &EndpointState,
-    now: ClockTime,
-) -> bool {
-    endpoint.accepts_starts(now) && request.avoid != Some(name) && is_eligible(request, endpoint)
-}
-
-/// Maximum of each free resource over all endpoints that accept starts.
-///
-/// A demand above it fits nowhere, which saves a check of each endpoint.
-pub(crate) fn max_free_resources(
-    endpoints: &IndexMap<EndpointName, EndpointState>,
-    now: ClockTime,
-) -> ResourceAmount {
-    let usable = endpoints.values().filter(|it| it.accepts_starts(now));
-    usable.fold(ResourceAmount::default(), |largest, it| {
-        let free = it.free_resources();
-        ResourceAmount {
-            cpu: largest.cpu.max(free.cpu),
-            mem_mb: largest.mem_mb.max(free.mem_mb),
-            gpu: largest.gpu.max(free.gpu),
+    if let Some((predicted_ms, _, index)) = in_time {
+        return PlacementChoice::Start(index, predicted_ms);
+    }
+    if waits.step != Some(request.task.step) {
+        waits.build(request, endpoints, timeline, now);
+    }
+    // A task that avoids an endpoint does not show that its siblings fit nowhere.
+    waits.is_blocked = is_blocked || (soonest.is_none() && request.avoid.is_none());
+    let position = waits.position(request, endpoints);
+    match (soonest, position) {
+        (None, Some(position)) => PlacementChoice::Wait(waits.awaited.remove(position)),
+        (Some((end_ms, ..)), Some(position))
+            if waits.awaited[position].end_ms + WAIT_GAIN_MS < end_ms =>
+        {
+            PlacementChoice::Wait(waits.awaited.remove(position))
         }
-    })
+        (Some((_, predicted_ms, index)), _) => PlacementChoice::Start(index, predicted_ms),
+        (None, None) => PlacementChoice::Nowhere,
+    }
 }
 
 /// Number of whole cores that a task would leave free.
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -48,7 +48,6 @@
             self.effects.push(CellEffect::ReportResult(origin.clone(), code, offer.number, result));
             return;
         }
-        self.record_demands(&offer);
         let mut job = self.new_job(origin, offer, now);
         if self.is_data_local(&job.offer) {
             let work = self.times.work(&job.offer);
@@ -107,6 +106,7 @@
             n_left: tasks.len(),
             tasks,
             may_have_run: offer.is_repeat,
+            was_reserved: false,
             is_long: false,
             offer,
         }
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -2,12 +2,13 @@
 
 use crate::{
     cell::{
-        cell_dispatcher::{CellDispatcher, CellJob, ClosedRun, LEASE_MS, TaskPhase},
-        cell_placement::{self, PlacementChoice, PlacementRequest},
+        cell_dispatcher::{CellDispatcher, ClosedRun, LEASE_MS, TaskPhase},
+        cell_placement::{self, AwaitedEndpoint, PlacementChoice, PlacementRequest, WaitList},
         decision_record::{DecisionEvent, DecisionRecord},
+        dispatch_waits::JobRank,
         endpoint_order::OrderBody,
         endpoint_state::{EndpointRun, EndpointState, RunPhase, RunProgress},
-        job_offer::{JobCode, JobOffer, TaskRef},
+        job_offer::{JobCode, ResourceAmount, TaskRef},
         placement_timeline::PlacementTimeline,
         run_proof::RunProof,
     },
@@ -25,70 +26,50 @@
 /// Maximum number of closed runs that are remembered.
 const MAX_CLOSED_RUNS: usize = 1_024;
 
-/// Time after a task was blocked for which endpoints of like speed are chosen by their
-/// remainder, in ms: longer than the swings of a load.
-const PACKING_MS: u64 = 30_000;
-
-/// Share of the endpoints that blocked tasks may reserve, in thousandths. With more, the widest
-/// tenth of jobs gains nothing further and the decisions cost more.
-const MAX_RESERVED_MILLI: usize = 400;
-
 impl CellDispatcher {
     /// Places waiting tasks in rank order, if anything has changed since the last pass.
     pub(super) fn run_placement_pass(&mut self, now: ClockTime) {
         if self.is_fenced || !std::mem::take(&mut self.needs_placement_pass) {
             return;
         }
-        let are_known = self.former_runs_are_known(now);
-        if !self.endpoints.values().any(|it| it.accepts_starts(now)) {
+        let mut timeline = PlacementTimeline::new(&self.endpoints, now);
+        if !timeline.accepts_starts() {
             return;
         }
-        let mut timeline = PlacementTimeline::default();
-        let mut largest = cell_placement::max_free_resources(&self.endpoints, now);
+        let are_known = self.former_runs_are_known(now);
         let order = self.ranked_waiting(now);
-        let fits_now = |job: &CellJob| job.waiting_demands().any(|it| largest.fits(it));
-        // Reservations matter only to jobs of a lower rank that may start now.
-        let n_ranks =
-            order.iter().rposition(|(_, code)| fits_now(&self.jobs[code])).map_or(0, |it| it + 1);
-        if n_ranks < order.len() {
-            self.blocked_at = Some(now);
-        }
-        for (_, code) in &order[..n_ranks] {
+        let smallest = self.smallest_demands(&order);
+        let mut largest = timeline.max_free();
+        for ((_, code), smallest) in order.iter().zip(&smallest) {
+            // Reservations matter only to jobs of a lower rank that may start now.
+            if !largest.fits(smallest) {
+                break;
+            }
             let job = &self.jobs[code];
             let is_over = REPEAT_WAIT_MS <= now.since_ms(job.arrived_at);
             let may_start = are_known || is_over || !job.offer.is_repeat;
-            let may_reserve = timeline.n_reserved() < self.max_reservations();
             let fits = job.waiting_demands().any(|it| largest.fits(it));
-            if !may_start || !(fits || may_reserve) {
+            if !may_start || !(fits || timeline.may_reserve()) {
                 continue;
             }
             let last_order = self.next_order;
             self.place_job(*code, &mut timeline, now);
             if last_order < self.next_order {
-                largest = cell_placement::max_free_resources(&self.endpoints, now);
+                largest = timeline.max_free();
             }
         }
-        self.record_reservations(&timeline, now);
     }
 
-    /// Logs each job that holds a reservation for the first time.
-    fn record_reservations(&mut self, timeline: &PlacementTimeline, now: ClockTime) {
-        if timeline.n_reserved() == 0 {
-            return;
-        }
-        let jobs = &self.jobs;
-        self.reserved_jobs.retain(|it| jobs.contains_key(it));
-        for (name, reservation) in timeline.reservations() {
-            if !self.reserved_jobs.insert(reservation.job) {
-                continue;
-            }
-            let event = DecisionEvent::TaskReserved;
-            let record = DecisionRecord::new(now, event, name.as_str(), "blocked")
-                .for_job(reservation.job)
-                .with("starts_in_ms", reservation.starts_in_ms)
-                .with("spare_cpu", reservation.spare.cpu);
-            self.log_decision(record);
+    /// Least demand of any waiting task of each job and those of a lower rank.
+    fn smallest_demands(&self, order: &[(JobRank, JobCode)]) -> Vec<ResourceAmount> {
+        let unlimited = ResourceAmount { cpu: u64::MAX, mem_mb: u64::MAX, gpu: u64::MAX };
+        let mut smallest = vec![unlimited; order.len()];
+        let mut least = unlimited;
+        for ((_, code), demand) in order.iter().zip(&mut smallest).rev() {
+            least = self.jobs[code].waiting_demands().fold(least, |least, it| least.min(it));
+            *demand = least;
         }
+        smallest
     }
 
     /// Whether every endpoint that a former leader may have used has listed its runs.
@@ -97,14 +78,6 @@
         self.endpoints_are_known && self.endpoints.values().all(is_known)
     }
 
-    /// Records the demands of an offer, by which remainders of endpoints are rated.
-    pub(super) fn record_demands(&mut self, offer: &JobOffer) {
-        let largest = self.endpoints.values().map(|it| it.record.capacity.cpu).max().unwrap_or(0);
-        for step in &offer.steps {
-            self.profile.record(step.demand.cpu, largest);
-        }
-    }
-
     pub(super) fn place_job(
         &mut self,
         code: JobCode,
@@ -118,9 +91,13 @@
                 ready.push(idx);
             }
         }
+        let mut waits = WaitList::default();
         for idx in ready {
             let Some(job) = self.jobs.get(&code) else { return };
             let task = &job.tasks[idx];
+            if waits.is_blocked(task.task.step) && !timeline.may_reserve() {
+                continue;
+            }
             let step = &job.offer.steps[task.task.step as usize];
             let typical_ms = self.times.typical_ms(&job.offer.route, step.declared_ms)
                 * self.locality_factor_milli(step.data_rack.as_deref())
@@ -129,38 +106,44 @@
             let n_present = self.endpoints.values().filter(|it| it.departed_at.is_none()).count();
             let avoid = task.avoid.as_ref().filter(|_| 1 < n_present);
             let due_at = job.due_at;
-            let is_packed = self.blocked_at.is_some_and(|at| now.since_ms(at) < PACKING_MS);
-            let profile = is_packed.then_some(&self.profile);
+            let request = PlacementRequest { task: task.task, step, typical_ms, due_at, avoid };
             let demand = step.demand;
-            let request =
-                PlacementRequest { task: task.task, step, typical_ms, due_at, avoid, profile };
-            let may_reserve = timeline.n_reserved() < self.max_reservations();
-            match cell_placement::choose_endpoint(&request, &self.endpoints, timeline, now) {
-                PlacementChoice::Start(name, predicted_ms) => {
+            let endpoints = &self.endpoints;
+            match cell_placement::choose_endpoint(&request, endpoints, timeline, &mut waits, now) {
+                PlacementChoice::Start(index, predicted_ms) => {
+                    let Some((name, _)) = endpoints.get_index(index) else { return };
+                    let name = name.clone();
                     self.start_task(code, idx, &name, predicted_ms, now);
-                    if timeline.record_start(&name, &demand, predicted_ms) {
-                        self.log_backfill(code, &name, predicted_ms, timeline, now);
+                    let endpoint = &self.endpoints[index];
+                    let reserved_in_ms =
+                        timeline.record_start(index, &demand, predicted_ms, endpoint, now);
+                    if let Some(starts_in_ms) = reserved_in_ms {
+                        self.log_backfill(code, &name, predicted_ms, starts_in_ms, now);
                     }
                 }
-                PlacementChoice::Wait(awaited) if may_reserve => {
-                    timeline.reserve(code, awaited);
-                }
-                PlacementChoice::Wait(awaited) => timeline.add_waiter(awaited.name),
-                PlacementChoice::Blocked(awaited) => {
-                    self.blocked_at = Some(now);
-                    if !may_reserve {
-                        return;
+                PlacementChoice::Wait(awaited) => {
+                    if timeline.reserve(code, &awaited) {
+                        self.log_reservation(code, &awaited, now);
                     }
-                    timeline.reserve(code, awaited);
                 }
                 PlacementChoice::Nowhere => return,
             }
         }
     }
 
-    /// Maximum number of endpoints that blocked tasks may reserve.
-    fn max_reservations(&self) -> usize {
-        (self.endpoints.len() * MAX_RESERVED_MILLI).div_ceil(1000)
+    /// Logs the first reservation of a job.
+    fn log_reservation(&mut self, code: JobCode, awaited: &AwaitedEndpoint, now: ClockTime) {
+        let Some(job) = self.jobs.get_mut(&code) else { return };
+        if std::mem::replace(&mut job.was_reserved, true) {
+            return;
+        }
+        let Some((name, _)) = self.endpoints.get_index(awaited.index) else { return };
+        let event = DecisionEvent::TaskReserved;
+        let record = DecisionRecord::new(now, event, name.as_str(), "blocked")
+            .for_job(code)
+            .with("starts_in_ms", awaited.starts_in_ms)
+            .with("spare_cpu", awaited.spare.cpu);
+        self.log_decision(record);
     }
 
     fn log_backfill(
@@ -168,10 +151,9 @@
         code: JobCode,
         name: &EndpointName,
         predicted_ms: u64,
-        timeline: &PlacementTimeline,
+        starts_in_ms: u64,
         now: ClockTime,
     ) {
-        let starts_in_ms = timeline.starts_in_ms(name).unwrap_or(0);
         let outcome = if predicted_ms <= starts_in_ms { "ends before" } else { "fits beside" };
         let record =
             DecisionRecord::new(now, DecisionEvent::TaskBackfilled, name.as_str(), outcome)
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -45,6 +45,24 @@
         demand.cpu <= self.cpu && demand.mem_mb <= self.mem_mb && demand.gpu <= self.gpu
     }
 
+    /// Maximum of each component.
+    pub fn max(&self, other: &ResourceAmount) -> ResourceAmount {
+        ResourceAmount {
+            cpu: self.cpu.max(other.cpu),
+            mem_mb: self.mem_mb.max(other.mem_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
+    /// Minimum of each component.
+    pub fn min(&self, other: &ResourceAmount) -> ResourceAmount {
+        ResourceAmount {
+            cpu: self.cpu.min(other.cpu),
+            mem_mb: self.mem_mb.min(other.mem_mb),
+            gpu: self.gpu.min(other.gpu),
+        }
+    }
+
     /// Sum of both amounts.
     pub fn plus(&self, other: &ResourceAmount) -> ResourceAmount {
         ResourceAmount {
