--- a/testutils/src/bin/cell_load.rs
+++ b/testutils/src/bin/cell_load.rs
@@ -77,6 +77,7 @@
     print_outcomes("", &world.outcomes);
     print_outcomes("widest tenth of ", &world.wide_outcomes);
     println!("used share of room: {} thousandths", world.used_milli());
+    println!("used share at the peak: {} thousandths", world.peak_used_milli());
     for (cause, cost) in &world.costs {
         println!("{cause}: {:.3} ms a second", cost.as_secs_f64() * 1e3 / args.seconds as f64);
     }
--- a/testutils/src/load_world.rs
+++ b/testutils/src/load_world.rs
@@ -52,6 +52,9 @@
 /// Factor on the work of long outliers.
 const OUTLIER_FACTOR: u64 = 7;
 
+/// Least rate of a peak relative to the highest rate.
+const PEAK_SHARE: f64 = 0.9;
+
 /// How endpoints differ in size and how the load varies over time.
 #[derive(Clone, Debug)]
 pub struct LoadShape {
@@ -188,6 +191,10 @@
     pub wide_outcomes: IndexMap<&'static str, KindOutcome>,
     /// Processor time of runs while jobs came, in ms of thousandths of a core.
     pub used_work: u64,
+    /// The part of it that falls into peaks, at nine tenths of the highest rate and above.
+    pub peak_work: u64,
+    /// How long peaks lasted, in ms.
+    pub peak_ms: u64,
     /// Processor time of the entry's decisions, by what caused them.
     pub costs: IndexMap<&'static str, Duration>,
     /// Decisions by event.
@@ -245,6 +252,8 @@
             outcomes: IndexMap::new(),
             wide_outcomes: IndexMap::new(),
             used_work: 0,
+            peak_work: 0,
+            peak_ms: 0,
             costs: IndexMap::new(),
             notes: IndexMap::new(),
             n_starts: 0,
@@ -326,8 +335,16 @@
 
     /// Share of the endpoints' processor that runs took while jobs came, in thousandths.
     pub fn used_milli(&self) -> u64 {
-        let cpu: u64 = self.runners.values().map(|it| it.record.capacity.cpu).sum();
-        self.used_work * 1000 / (cpu * self.plan.span_ms).max(1)
+        self.used_work * 1000 / (self.capacity() * self.plan.span_ms).max(1)
+    }
+
+    /// Share of the endpoints' processor that runs took during peaks, in thousandths.
+    pub fn peak_used_milli(&self) -> u64 {
+        self.peak_work * 1000 / (self.capacity() * self.peak_ms).max(1)
+    }
+
+    fn capacity(&self) -> u64 {
+        self.runners.values().map(|it| it.record.capacity.cpu).sum()
     }
 
     /// Plays until every job has had its time.
@@ -562,7 +579,12 @@
         let begun_at = self.jobs_end_at.minus_ms(self.plan.span_ms);
         if begun_at <= now && now < self.jobs_end_at {
             let runs = self.runners.values().flat_map(|it| it.runs.values());
-            self.used_work += runs.map(|it| it.demand.cpu).sum::<u64>() * TICK_MS;
+            let work = runs.map(|it| it.demand.cpu).sum::<u64>() * TICK_MS;
+            self.used_work += work;
+            if PEAK_SHARE <= self.rate_share(now) {
+                self.peak_work += work;
+                self.peak_ms += TICK_MS;
+            }
         }
         let ended: Vec<EndpointName> = self
             .runners
