--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -98,6 +98,8 @@
     pub(super) n_left: usize,
     /// Whether any of its tasks may have started.
     pub(super) may_have_run: bool,
+    /// Whether it has held a reservation, which is logged once.
+    pub(super) was_reserved: bool,
     /// Whether its tasks have proved to take far longer than predicted.
     pub(super) is_long: bool,
     /// Whether its caller was refused and has come back.
--- a/lib/src/cell/cell_placement.rs
+++ b/lib/src/cell/cell_placement.rs
@@ -4,12 +4,15 @@
 //! to tasks with less slack. If none does, it goes where it ends soonest; that may be a busy
 //! endpoint, and then the task waits until enough resources are free there.
 
-use indexmap::{IndexMap, IndexSet};
+use std::cmp::Reverse;
+
+use indexmap::IndexMap;
 
 use crate::{
     cell::{
         endpoint_state::EndpointState,
         job_offer::{JobStep, ResourceAmount, TaskRef},
+        placement_timeline::{EndpointRoom, PlacementTimeline},
     },
     prelude::*,
 };
@@ -36,91 +39,157 @@
     pub(crate) avoid: Option<&'a EndpointName>,
 }
 
+impl PlacementRequest<'_> {
+    /// Predicted run time on an endpoint, in ms.
+    fn predicted_ms(&self, room: &EndpointRoom) -> u64 {
+        (self.typical_ms * room.factor_milli / 1000).max(1)
+    }
+
+    /// Whether the task may run on an endpoint that accepts starts.
+    fn allows(&self, name: &EndpointName, endpoint: &EndpointState) -> bool {
+        self.avoid != Some(name) && is_eligible(self, endpoint)
+    }
+}
+
 /// Where a task should go.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum PlacementChoice {
-    /// To this endpoint now, with this predicted run time in ms.
-    Start(EndpointName, u64),
+    /// To the endpoint of this index now, with this predicted run time in ms.
+    Start(usize, u64),
     /// To this endpoint once enough resources are free there.
-    Wait(EndpointName),
+    Wait(AwaitedEndpoint),
     /// No endpoint is available yet.
     Nowhere,
 }
 
-/// Chooses the endpoint of a task; other tasks already wait for those in `reserved`.
+/// A busy endpoint on which a task is expected to fit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AwaitedEndpoint {
+    /// Its index.
+    pub(crate) index: usize,
+    /// Expected time until the task fits, in ms.
+    pub(crate) starts_in_ms: u64,
+    /// Expected time until the task has ended, in ms.
+    pub(crate) end_ms: u64,
+    /// What is expected to be free beside the task when it starts.
+    pub(crate) spare: ResourceAmount,
+}
+
+/// Endpoints that the tasks of a step may wait for. They have the same demand, so that one list
+/// per step and pass is enough.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WaitList {
+    step: Option<u32>,
+    /// The one on which a task would end soonest comes last.
+    awaited: Vec<AwaitedEndpoint>,
+    /// Whether the tasks fit nowhere.
+    is_blocked: bool,
+}
+
+impl WaitList {
+    /// Whether the tasks of a step are known to fit nowhere.
+    pub(crate) fn is_blocked(&self, step: u32) -> bool {
+        self.is_blocked && self.step == Some(step)
+    }
+
+    /// Lists the busy endpoints without a waiter.
+    fn build(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        endpoints: &IndexMap<EndpointName, EndpointState>,
+        timeline: &PlacementTimeline,
+        now: ClockTime,
+    ) {
+        let demand = &request.step.demand;
+        let mut ends = Vec::new();
+        self.step = Some(request.task.step);
+        self.is_blocked = false;
+        self.awaited.clear();
+        for (index, (room, endpoint)) in timeline.rooms().iter().zip(endpoints.values()).enumerate()
+        {
+            if !room.accepts_starts
+                || room.has_waiter()
+                || room.free.fits(demand)
+                || !is_eligible(request, endpoint)
+            {
+                continue;
+            }
+            let fits_in_ms = endpoint.fits_in_ms(demand, &mut ends, now);
+            let Some((starts_in_ms, free)) = fits_in_ms else { continue };
+            let end_ms = starts_in_ms + request.predicted_ms(room);
+            let spare = free.minus(demand);
+            self.awaited.push(AwaitedEndpoint { index, starts_in_ms, end_ms, spare });
+        }
+        self.awaited.sort_by_key(|it| Reverse(it.end_ms));
+    }
+
+    /// Position of the endpoint on which a task would end soonest.
+    fn position(
+        &self,
+        request: &PlacementRequest<'_>,
+        endpoints: &IndexMap<EndpointName, EndpointState>,
+    ) -> Option<usize> {
+        let name_of = |it: &AwaitedEndpoint| Some(endpoints.get_index(it.index)?.0);
+        self.awaited.iter().rposition(|it| request.avoid.is_none() || request.avoid != name_of(it))
+    }
+}
+
+/// Chooses the endpoint of a task beside the reservations of tasks of higher rank.
 pub(crate) fn choose_endpoint(
     request: &PlacementRequest<'_>,
     endpoints: &IndexMap<EndpointName, EndpointState>,
-    reserved: &IndexSet<EndpointName>,
+    timeline: &PlacementTimeline,
+    waits: &mut WaitList,
     now: ClockTime,
 ) -> PlacementChoice {
+    let demand = &request.step.demand;
     // Among endpoints that end it in time: the slowest, then the one with the least left free.
-    let mut in_time: Option<(u64, u64, &EndpointName, u64)> = None;
-    let mut soonest: Option<(u64, &EndpointName, u64)> = None;
-    let mut awaited: Option<(u64, &EndpointName)> = None;
-    for (name, endpoint) in endpoints {
-        if !endpoint.accepts_starts(now)
-            || request.avoid == Some(name)
-            || !is_eligible(request, endpoint)
+    let mut in_time: Option<(u64, u64, usize)> = None;
+    let mut soonest: Option<(u64, u64, usize)> = None;
+    let is_blocked = waits.is_blocked(request.task.step);
+    let rooms = timeline.rooms().iter().zip(endpoints).enumerate();
+    for (index, (room, (name, endpoint))) in rooms.filter(|_| !is_blocked) {
+        if !room.accepts_starts
+            || room.is_slow_and_busy
+            || !room.free.fits(demand)
+            || !request.allows(name, endpoint)
         {
             continue;
         }
-        let predicted_ms = (request.typical_ms * endpoint.speed.factor_milli(now) / 1000).max(1);
-        let free = endpoint.free_resources();
-        if !free.fits(&request.step.demand) {
-            if !reserved.contains(name)
-                && let Some(wait_ms) = endpoint.fits_in_ms(&request.step.demand, now)
-            {
-                let end_ms = wait_ms + predicted_ms;
-                if awaited.is_none_or(|(known, _)| end_ms < known) {
-                    awaited = Some((end_ms, name));
-                }
-            }
-            continue;
-        }
-        if endpoint.speed.is_slow(now) && !endpoint.runs.is_empty() {
-            // One run at a time shows whether it has recovered.
+        let predicted_ms = request.predicted_ms(room);
+        if !room.admits(request.task.job, demand, predicted_ms) {
             continue;
         }
-        let left = leftover(&free, &request.step.demand);
+        let left = leftover(&room.free, demand);
         let end_ms = predicted_ms + left * LEFTOVER_MS;
         if soonest.is_none_or(|(known, ..)| end_ms < known) {
-            soonest = Some((end_ms, name, predicted_ms));
+            soonest = Some((end_ms, predicted_ms, index));
         }
         let is_in_time = now.plus_ms(predicted_ms + DUE_MARGIN_MS) <= request.due_at;
         let rank = (predicted_ms, u64::MAX - left);
-        if is_in_time && in_time.is_none_or(|(ms, full, ..)| (ms, full) < rank) {
-            in_time = Some((rank.0, rank.1, name, predicted_ms));
+        if is_in_time && in_time.is_none_or(|(ms, full, _)| (ms, full) < rank) {
+            in_time = Some((rank.0, rank.1, index));
         }
     }
-    if let Some((_, _, name, predicted_ms)) = in_time {
-        return PlacementChoice::Start(name.clone(), predicted_ms);
+    if let Some((predicted_ms, _, index)) = in_time {
+        return PlacementChoice::Start(index, predicted_ms);
     }
-    match (soonest, awaited) {
-        (Some((end_ms, ..)), Some((awaited_ms, name))) if awaited_ms + WAIT_GAIN_MS < end_ms => {
-            PlacementChoice::Wait(name.clone())
-        }
-        (Some((_, name, predicted_ms)), _) => PlacementChoice::Start(name.clone(), predicted_ms),
-        (None, _) => PlacementChoice::Nowhere,
+    if waits.step != Some(request.task.step) {
+        waits.build(request, endpoints, timeline, now);
     }
-}
-
-/// Maximum of each free resource over all endpoints that accept starts.
-///
-/// A demand above it fits nowhere, which saves a check of each endpoint.
-pub(crate) fn max_free_resources(
-    endpoints: &IndexMap<EndpointName, EndpointState>,
-    now: ClockTime,
-) -> ResourceAmount {
-    let usable = endpoints.values().filter(|it| it.accepts_starts(now));
-    usable.fold(ResourceAmount::default(), |largest, it| {
-        let free = it.free_resources();
-        ResourceAmount {
-            cpu: largest.cpu.max(free.cpu),
-            mem_mb: largest.mem_mb.max(free.mem_mb),
-            gpu: largest.gpu.max(free.gpu),
+    // A task that avoids an endpoint does not show that its siblings fit nowhere.
+    waits.is_blocked = is_blocked || (soonest.is_none() && request.avoid.is_none());
+    let position = waits.position(request, endpoints);
+    match (soonest, position) {
+        (None, Some(position)) => PlacementChoice::Wait(waits.awaited.remove(position)),
+        (Some((end_ms, ..)), Some(position))
+            if waits.awaited[position].end_ms + WAIT_GAIN_MS < end_ms =>
+        {
+            PlacementChoice::Wait(waits.awaited.remove(position))
         }
-    })
+        (Some((_, predicted_ms, index)), _) => PlacementChoice::Start(index, predicted_ms),
+        (None, None) => PlacementChoice::Nowhere,
+    }
 }
 
 /// Number of whole cores that a task would leave free.
--- a/lib/src/cell/decision_record.rs
+++ b/lib/src/cell/decision_record.rs
@@ -56,6 +56,10 @@
     JobWithdrawn = "job_withdrawn",
     /// A task was placed on an endpoint.
     TaskPlaced = "task_placed",
+    /// A job got its first reservation of an endpoint, as a task of it fits nowhere yet.
+    TaskReserved = "task_reserved",
+    /// A task started on an endpoint reserved for a task of a higher rank, which it does not delay.
+    TaskBackfilled = "task_backfilled",
     /// A run is far past its predicted time, for the cause that the outcome names.
     RunStraggles = "run_straggles",
     /// An order got no answer.
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -129,6 +129,7 @@
             n_left: tasks.len(),
             tasks,
             may_have_run: offer.is_repeat,
+            was_reserved: false,
             is_long: false,
             has_returned: offer.was_refused || self.refused_jobs.contains(&offer.job),
             forecast_ms: 0,
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -1,15 +1,15 @@
 //! Placement passes, starts, and requeueing of tasks whose runs are proved to be over.
 
-use indexmap::IndexSet;
-
 use crate::{
     cell::{
         cell_dispatcher::{CellDispatcher, ClosedRun, TaskPhase},
-        cell_placement::{self, PlacementChoice, PlacementRequest},
+        cell_placement::{self, AwaitedEndpoint, PlacementChoice, PlacementRequest, WaitList},
         decision_record::{DecisionEvent, DecisionRecord},
+        dispatch_waits::JobRank,
         endpoint_order::OrderBody,
         endpoint_state::{EndpointRun, EndpointState, RunPhase, RunProgress},
-        job_offer::{JobCode, TaskRef},
+        job_offer::{JobCode, ResourceAmount, TaskRef},
+        placement_timeline::PlacementTimeline,
         run_proof::RunProof,
     },
     prelude::*,
@@ -27,25 +27,48 @@
         if self.is_fenced || !std::mem::take(&mut self.needs_placement_pass) {
             return;
         }
-        let are_known = self.former_runs_are_known(now);
-        if !self.endpoints.values().any(|it| it.accepts_starts(now)) {
+        let mut timeline = PlacementTimeline::new(&self.endpoints, now);
+        if !timeline.accepts_starts() {
             return;
         }
-        let mut reserved = IndexSet::new();
-        let mut largest = cell_placement::max_free_resources(&self.endpoints, now);
-        for (_, code) in self.ranked_waiting(now) {
-            let job = &self.jobs[&code];
+        let are_known = self.former_runs_are_known(now);
+        let order = self.ranked_waiting(now);
+        let smallest = self.smallest_demands(&order);
+        let mut largest = timeline.max_free();
+        for ((_, code), smallest) in order.iter().zip(&smallest) {
+            // Reservations matter only to jobs of a lower rank that may start now.
+            if !largest.fits(smallest) {
+                break;
+            }
+            let job = &self.jobs[code];
             // A former leader has got no keep-alive since, so it has let the lease of the job's runs
             // end.
             let is_over = self.bounds.runs_over_ms() <= now.since_ms(job.arrived_at);
             let may_start = are_known || is_over || !job.offer.is_repeat;
-            if may_start && job.waiting_demands().any(|it| largest.fits(it)) {
-                self.place_job(code, &mut reserved, now);
-                largest = cell_placement::max_free_resources(&self.endpoints, now);
+            let fits = job.waiting_demands().any(|it| largest.fits(it));
+            if !may_start || !(fits || timeline.may_reserve()) {
+                continue;
+            }
+            let last_order = self.next_order;
+            self.place_job(*code, &mut timeline, now);
+            if last_order < self.next_order {
+                largest = timeline.max_free();
             }
         }
     }
 
+    /// Least demand of any waiting task of each job and those of a lower rank.
+    fn smallest_demands(&self, order: &[(JobRank, JobCode)]) -> Vec<ResourceAmount> {
+        let unlimited = ResourceAmount { cpu: u64::MAX, mem_mb: u64::MAX, gpu: u64::MAX };
+        let mut smallest = vec![unlimited; order.len()];
+        let mut least = unlimited;
+        for ((_, code), demand) in order.iter().zip(&mut smallest).rev() {
+            least = self.jobs[code].waiting_demands().fold(least, |least, it| least.min(it));
+            *demand = least;
+        }
+        smallest
+    }
+
     /// Whether every endpoint that a former leader may have used has listed its runs.
     pub(super) fn former_runs_are_known(&self, now: ClockTime) -> bool {
         let is_known = |it: &EndpointState| it.claimed || it.is_displaced_for_good(now);
@@ -55,7 +78,7 @@
     pub(super) fn place_job(
         &mut self,
         code: JobCode,
-        reserved: &mut IndexSet<EndpointName>,
+        timeline: &mut PlacementTimeline,
         now: ClockTime,
     ) {
         let Some(job) = self.jobs.get(&code) else { return };
@@ -65,9 +88,13 @@
                 ready.push(idx);
             }
         }
+        let mut waits = WaitList::default();
         for idx in ready {
             let Some(job) = self.jobs.get(&code) else { return };
             let task = &job.tasks[idx];
+            if waits.is_blocked(task.task.step) && !timeline.may_reserve() {
+                continue;
+            }
             let step = &job.offer.steps[task.task.step as usize];
             let typical_ms = self.times.typical_ms(&job.offer.route, step.declared_ms)
                 * self.locality_factor_milli(step.data_rack.as_deref())
@@ -77,18 +104,62 @@
             let avoid = task.avoid.as_ref().filter(|_| 1 < n_present);
             let due_at = job.due_at;
             let request = PlacementRequest { task: task.task, step, typical_ms, due_at, avoid };
-            match cell_placement::choose_endpoint(&request, &self.endpoints, reserved, now) {
-                PlacementChoice::Start(name, predicted_ms) => {
+            let demand = step.demand;
+            let endpoints = &self.endpoints;
+            match cell_placement::choose_endpoint(&request, endpoints, timeline, &mut waits, now) {
+                PlacementChoice::Start(index, predicted_ms) => {
+                    let Some((name, _)) = endpoints.get_index(index) else { return };
+                    let name = name.clone();
                     self.start_task(code, idx, &name, predicted_ms, now);
+                    let endpoint = &self.endpoints[index];
+                    let reserved_in_ms =
+                        timeline.record_start(index, &demand, predicted_ms, endpoint, now);
+                    if let Some(starts_in_ms) = reserved_in_ms {
+                        self.log_backfill(code, &name, predicted_ms, starts_in_ms, now);
+                    }
                 }
-                PlacementChoice::Wait(name) => {
-                    reserved.insert(name);
+                PlacementChoice::Wait(awaited) => {
+                    if timeline.reserve(code, &awaited) {
+                        self.log_reservation(code, &awaited, now);
+                    }
                 }
                 PlacementChoice::Nowhere => return,
             }
         }
     }
 
+    /// Logs the first reservation of a job.
+    fn log_reservation(&mut self, code: JobCode, awaited: &AwaitedEndpoint, now: ClockTime) {
+        let Some(job) = self.jobs.get_mut(&code) else { return };
+        if std::mem::replace(&mut job.was_reserved, true) {
+            return;
+        }
+        let Some((name, _)) = self.endpoints.get_index(awaited.index) else { return };
+        let event = DecisionEvent::TaskReserved;
+        let record = DecisionRecord::new(now, event, name.as_str(), "blocked")
+            .for_job(code)
+            .with("starts_in_ms", awaited.starts_in_ms)
+            .with("spare_cpu", awaited.spare.cpu);
+        self.log_decision(record);
+    }
+
+    fn log_backfill(
+        &mut self,
+        code: JobCode,
+        name: &EndpointName,
+        predicted_ms: u64,
+        starts_in_ms: u64,
+        now: ClockTime,
+    ) {
+        let outcome = if predicted_ms <= starts_in_ms { "ends before" } else { "fits beside" };
+        let record =
+            DecisionRecord::new(now, DecisionEvent::TaskBackfilled, name.as_str(), outcome)
+                .for_job(code)
+                .with("predicted_ms", predicted_ms)
+                .with("starts_in_ms", starts_in_ms);
+        self.log_decision(record);
+    }
+
     pub(super) fn start_task(
         &mut self,
         code: JobCode,
--- a/lib/src/cell/mod.rs
+++ b/lib/src/cell/mod.rs
@@ -44,6 +44,7 @@
 mod node_cells;
 mod node_heartbeats;
 mod node_peers;
+mod placement_timeline;
 pub mod route_plan;
 pub mod run_bounds;
 pub mod run_forecast;
--- a/lib/tests/test_cell_cancel.rs
+++ b/lib/tests/test_cell_cancel.rs
@@ -57,6 +57,8 @@
         token: 0,
         is_repeat: false,
         may_move: false,
+        centre: DataCentre::from("munich"),
+        was_refused: false,
     }
 }
 
