--- a/adapters/src/byte_budget.rs
+++ b/adapters/src/byte_budget.rs
@@ -29,8 +29,6 @@
 struct BudgetShared {
     total: usize,
     state: Mutex<BudgetState>,
-    /// Wakes those that wait for the bytes of an aborted body.
-    released: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -90,7 +88,7 @@
     /// A budget of so many bytes.
     pub fn new(total: usize) -> ByteBudget {
         let state = Mutex::new(BudgetState::default());
-        ByteBudget(Arc::new(BudgetShared { total, state, released: Notify::new() }))
+        ByteBudget(Arc::new(BudgetShared { total, state }))
     }
 
     /// Largest number of bytes that one request can have reserved.
@@ -118,15 +116,16 @@
 
     /// Registers a body that is about to be read.
     pub fn open_body(&self, class: ByteClass, now: Instant) -> BodyReservation {
-        let abort = Arc::new(Notify::new());
-        let number = (class == ByteClass::Large).then(|| {
+        let abortable = (class == ByteClass::Large).then(|| {
+            let abort = Arc::new(Notify::new());
             let mut state = self.lock();
             let number = BodyNumber(state.next_body);
             state.next_body += 1;
             let body = OpenBody { last_read_at: now, n_bytes: 0, abort: Arc::clone(&abort) };
             state.bodies.insert(number, body);
-            number
+            (number, abort)
         });
+        let (number, abort) = abortable.unzip();
         BodyReservation { budget: self.clone(), number, n_bytes: 0, abort }
     }
 
@@ -146,7 +145,6 @@
 
     fn release(&self, n_bytes: usize) {
         self.lock().used -= n_bytes;
-        self.0.released.notify_waiters();
     }
 
     fn lock(&self) -> MutexGuard<'_, BudgetState> {
@@ -185,7 +183,7 @@
     /// Number among the bodies that may be aborted; a small body has none.
     number: Option<BodyNumber>,
     n_bytes: usize,
-    abort: Arc<Notify>,
+    abort: Option<Arc<Notify>>,
 }
 
 impl BodyReservation {
@@ -218,15 +216,12 @@
         GrowStep::Wait
     }
 
-    /// Waits until some bytes were released, or for a time.
-    pub async fn wait_for_release(&self, limit: Duration) {
-        // Either end of the wait leads to another attempt.
-        let _ = tokio::time::timeout(limit, self.budget.0.released.notified()).await;
-    }
-
     /// Waits until the body is aborted; never ends for a small one.
     pub async fn wait_for_abort(&self) {
-        self.abort.notified().await;
+        match &self.abort {
+            Some(abort) => abort.notified().await,
+            None => std::future::pending().await,
+        }
     }
 
     /// The reservation of the body once it has been read; it is no longer aborted.
--- a/adapters/src/request_body.rs
+++ b/adapters/src/request_body.rs
@@ -23,8 +23,8 @@
 pub const BODY_GRACE: Duration = Duration::from_secs(2);
 /// Bytes that are reserved first for a body whose length is unknown, or over this.
 const FIRST_STEP_BYTES: usize = 16 << 10;
-/// Time for which a body waits at a time for the bytes of an aborted one.
-const RELEASE_WAIT: Duration = Duration::from_millis(20);
+/// Time between two attempts to reserve the bytes of an aborted body.
+const RELEASE_WAIT: Duration = Duration::from_millis(5);
 /// Largest answer that the charge of its connection covers, in bytes.
 const SHORT_ANSWER_BYTES: usize = 4 << 10;
 
@@ -215,7 +215,7 @@
                 GrowStep::Wait if self.time_limit() <= Instant::now() => {
                     return Err(short_budget());
                 }
-                GrowStep::Wait => self.reservation.wait_for_release(RELEASE_WAIT).await,
+                GrowStep::Wait => time::sleep(RELEASE_WAIT).await,
             }
         }
         self.buffer.reserve_exact(capacity - self.buffer.len());
