cell: back off after a declined offer, and keep its run numbers

An entry that had lost a cell, while its last report still named it as the leader, was offered a job every 10 ms, each time with 32 run numbers more. The time without a leader began anew with each refusal.

Such an offer is now answered with Declined, which says that nothing was started for it; NotLeader stays for jobs that a leader has held. The job is offered to the same leader again after 20 ms, doubling up to 320 ms, with the same run numbers; under a newer token it is offered at once. The time without a leader runs on meanwhile.

--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -196,4 +196,7 @@
     NotLeader,
     /// No reachable VM knows what became of the job's tasks.
     Unknown,
+    /// The receiver does not lead the cell under the offer's token, or got the offer late: it has
+    /// started nothing for this offer.
+    Declined,
 }
--- a/lib/src/cell/job_router.rs
+++ b/lib/src/cell/job_router.rs
@@ -24,6 +24,9 @@
 /// Penalty of a cell in another data centre, in ms of wait: a few round trips, and traffic
 /// between data centres, which costs money.
 const REMOTE_COST_MS: u64 = 6;
+/// Half of the first pause and the longest one after an offer was declined, in ms: the next heartbeat
+/// tells of another leader.
+const DECLINED_PAUSE_MS: (u64, u64) = (10, 320);
 /// Age beyond which a leader's report is ignored.
 const MAX_REPORT_AGE_MS: u64 = 1_500;
 
@@ -236,14 +239,63 @@
     (waiting + missing_cpu * job.offer.declared_critical_path_ms()) / report.cpu.max(1) + 1
 }
 
+/// Offers of a job in a row that were declined.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct DeclinedOffers {
+    n_declined: u32,
+    /// Token of the last one.
+    token: u64,
+    /// The job is not offered again under this token before this time.
+    retry_at: ClockTime,
+    /// Whether nothing has used the run numbers of the last offer.
+    numbers_are_unused: bool,
+}
+
 /// All jobs whose callers wait at this entry.
 #[derive(Clone, Debug, Default)]
 pub struct JobRouter {
     /// The jobs by id.
     pub jobs: IndexMap<JobCode, RoutedJob>,
+    /// Jobs whose last offers were declined.
+    declined: IndexMap<JobCode, DeclinedOffers>,
 }
 
 impl JobRouter {
+    /// Removes a job.
+    pub(super) fn remove(&mut self, code: JobCode) -> Option<RoutedJob> {
+        self.declined.swap_remove(&code);
+        self.jobs.swap_remove(&code)
+    }
+
+    /// Whether a job has to wait after its last offers were declined. A newer leader gets it at once.
+    pub(super) fn must_wait(&self, code: JobCode, token: u64, now: ClockTime) -> bool {
+        self.declined.get(&code).is_some_and(|it| token <= it.token && now < it.retry_at)
+    }
+
+    /// Whether the run numbers of a job's last offer can be used by the next one.
+    pub(super) fn take_unused_numbers(&mut self, code: JobCode) -> bool {
+        let declined = self.declined.get_mut(&code);
+        declined.is_some_and(|it| std::mem::take(&mut it.numbers_are_unused))
+    }
+
+    /// Records that a leader has declined a job's last offer; the job is without a leader again.
+    pub(super) fn record_declined(&mut self, code: JobCode, now: ClockTime) {
+        let Some(job) = self.jobs.get_mut(&code) else { return };
+        let token = job.offer.token;
+        let known = self.declined.get(&code).filter(|it| it.token == token);
+        let n_declined = known.map_or(0, |it| it.n_declined) + 1;
+        let (first_ms, longest_ms) = DECLINED_PAUSE_MS;
+        let pause_ms = (first_ms << n_declined.min(8)).min(longest_ms);
+        let retry_at = now.plus_ms(pause_ms);
+        let declined = DeclinedOffers { n_declined, token, retry_at, numbers_are_unused: true };
+        self.declined.insert(code, declined);
+        job.leader = None;
+        // The time without a leader goes on while the same one declines.
+        if n_declined == 1 {
+            job.unassigned_since = now;
+        }
+    }
+
     /// The job that a call waits for.
     pub fn job_for_call(&self, call: CallNumber) -> Option<JobCode> {
         self.jobs.iter().find(|(_, it)| it.call == call).map(|(code, _)| *code)
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -61,7 +61,7 @@
     }
 
     pub(super) fn cancel_job(&mut self, code: JobCode, now: ClockTime) {
-        let Some(job) = self.router.jobs.swap_remove(&code) else { return };
+        let Some(job) = self.router.remove(code) else { return };
         let record = DecisionRecord::new(now, DecisionEvent::JobWithdrawn, "caller", "left");
         self.log_decision(record.for_job(code).with("age_ms", now.since_ms(job.received_at)));
         let Some(leader) = job.leader else { return };
@@ -86,14 +86,17 @@
         }
         let Some(cell) = job.cell.clone() else { return };
         let Some(view) = self.views.get_mut(&cell) else { return };
-        if !job.may_offer_to(view) {
+        let token = view.report.token;
+        if !job.may_offer_to(view) || self.router.must_wait(code, token, now) {
             return;
         }
+        let numbers_are_unused = self.router.take_unused_numbers(code);
+        let Some(job) = self.router.jobs.get_mut(&code) else { return };
         job.offer.token = view.report.token;
         let leader = view.leader.clone();
         view.offered_cpu += job.offer.initial_cpu();
         view.offered_work += job.offer.declared_work();
-        if job.was_offered {
+        if job.was_offered && !numbers_are_unused {
             job.offer.first_run += RUNS_PER_LEADER;
         }
         self.n_offers += 1;
@@ -131,7 +134,7 @@
             }
             _ => {
                 let number = offer.number;
-                self.handle_result(&own, cell, offer.job, number, JobResult::NotLeader, now);
+                self.handle_result(&own, cell, offer.job, number, JobResult::Declined, now);
             }
         }
         self.run_effects(now);
@@ -150,7 +153,10 @@
         let is_outdated = number < job.offer.number
             && matches!(
                 result,
-                JobResult::Refused(..) | JobResult::Crowded(_) | JobResult::NotLeader
+                JobResult::Refused(..)
+                    | JobResult::Crowded(_)
+                    | JobResult::NotLeader
+                    | JobResult::Declined
             );
         if job.cell.as_ref() != Some(cell) || is_outdated {
             return;
@@ -163,6 +169,12 @@
                 }
                 return;
             }
+            JobResult::Declined => {
+                if job.leader.as_ref() == Some(from) {
+                    self.router.record_declined(code, now);
+                }
+                return;
+            }
             JobResult::Refused(cause, _) if job.leader.as_ref() == Some(from) => {
                 job.was_offered = false;
                 job.refused_by.push(cell.clone());
@@ -216,7 +228,7 @@
     }
 
     pub(super) fn answer(&mut self, code: JobCode, result: JobResult, now: ClockTime) {
-        let Some(job) = self.router.jobs.swap_remove(&code) else { return };
+        let Some(job) = self.router.remove(code) else { return };
         let outcome = match &result {
             JobResult::Refused(cause, _) => format!("refused: {cause:?}"),
             it => format!("{it:?}").to_lowercase(),
--- a/lib/src/cell/node_peers.rs
+++ b/lib/src/cell/node_peers.rs
@@ -87,7 +87,7 @@
                 let record =
                     DecisionRecord::new(now, DecisionEvent::JobRefused, cell.to_string(), outcome);
                 self.log_decision(record.for_job(offer.job).with("delay_ms", delay_ms));
-                let result = JobResult::NotLeader;
+                let result = JobResult::Declined;
                 self.send(from, CellMessage::JobResult(cell, offer.job, offer.number, result));
             }
         }
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -992,7 +992,10 @@
                 job.result = Some(result);
                 self.n_refused += 1;
             }
-            JobResult::Unknown | JobResult::NotLeader | JobResult::Crowded(_) => self.resend(code),
+            JobResult::Unknown
+            | JobResult::NotLeader
+            | JobResult::Declined
+            | JobResult::Crowded(_) => self.resend(code),
         }
     }
 
