--- a/lib/tests/test_placement_reservations.rs
+++ b/lib/tests/test_placement_reservations.rs
@@ -67,6 +67,8 @@
         token: 0,
         is_repeat: false,
         may_move: false,
+        centre: DataCentre::from("munich"),
+        was_refused: false,
     }
 }
 
