--- a/lib/src/cell/cell_placement.rs
+++ b/lib/src/cell/cell_placement.rs
@@ -87,11 +87,6 @@
 }
 
 impl WaitList {
-    /// Whether the tasks of a step are known to fit nowhere.
-    pub(crate) fn is_blocked(&self, step: u32) -> bool {
-        self.is_blocked && self.step == Some(step)
-    }
-
     /// Lists the busy endpoints without a waiter.
     fn build(
         &mut self,
@@ -146,7 +141,7 @@
     // Among endpoints that end it in time: the slowest, then the one with the least left free.
     let mut in_time: Option<(u64, u64, usize)> = None;
     let mut soonest: Option<(u64, u64, usize)> = None;
-    let is_blocked = waits.is_blocked(request.task.step);
+    let is_blocked = waits.is_blocked && waits.step == Some(request.task.step);
     let rooms = timeline.rooms().iter().zip(endpoints).enumerate();
     for (index, (room, (name, endpoint))) in rooms.filter(|_| !is_blocked) {
         if !room.accepts_starts
--- a/lib/src/cell/dispatch_starts.rs
+++ b/lib/src/cell/dispatch_starts.rs
@@ -48,8 +48,7 @@
             let job = &self.jobs[code];
             let is_over = REPEAT_WAIT_MS <= now.since_ms(job.arrived_at);
             let may_start = are_known || is_over || !job.offer.is_repeat;
-            let fits = job.waiting_demands().any(|it| largest.fits(it));
-            if !may_start || !(fits || timeline.may_reserve()) {
+            if !may_start {
                 continue;
             }
             let last_order = self.next_order;
@@ -95,9 +94,6 @@
         for idx in ready {
             let Some(job) = self.jobs.get(&code) else { return };
             let task = &job.tasks[idx];
-            if waits.is_blocked(task.task.step) && !timeline.may_reserve() {
-                continue;
-            }
             let step = &job.offer.steps[task.task.step as usize];
             let typical_ms = self.times.typical_ms(&job.offer.route, step.declared_ms)
                 * self.locality_factor_milli(step.data_rack.as_deref())
--- a/lib/src/cell/placement_timeline.rs
+++ b/lib/src/cell/placement_timeline.rs
@@ -2,8 +2,9 @@
 //!
 //! A task that fits nowhere reserves the endpoint where it is expected to end soonest, from the
 //! time at which it fits there. A task of a lower rank starts on a reserved endpoint only if it
-//! ends before that time or fits beside the reserved demand (backfilling). Reservations last for
-//! one placement pass; the next one computes them again from the runs that are left.
+//! ends before that time or fits beside the reserved demand. Every blocked task of a higher rank
+//! holds a reservation (conservative backfilling). Reservations last for one placement pass; the
+//! next one computes them again from the runs that are left.
 
 use indexmap::IndexMap;
 
@@ -19,9 +20,6 @@
 /// Longest time ahead for which an endpoint is reserved, in ms. With the longest overrun of a
 /// run whose end counts as known (250 ms), it bounds how long a reservation leaves room idle.
 const MAX_AHEAD_MS: u64 = 500;
-/// Share of the endpoints that blocked tasks may reserve, in thousandths. With more, the widest
-/// tenth of jobs gains nothing further and the decisions cost more.
-const MAX_RESERVED_MILLI: usize = 400;
 
 /// Endpoint that is kept for a blocked task from some time on.
 #[derive(Clone, Copy, Debug)]
@@ -77,8 +75,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PlacementTimeline {
     rooms: Vec<EndpointRoom>,
-    /// Number of endpoints that may still be reserved.
-    n_reservable: usize,
 }
 
 impl PlacementTimeline {
@@ -87,10 +83,8 @@
         endpoints: &IndexMap<EndpointName, EndpointState>,
         now: ClockTime,
     ) -> PlacementTimeline {
-        PlacementTimeline {
-            rooms: endpoints.values().map(|it| EndpointRoom::new(it, now)).collect(),
-            n_reservable: (endpoints.len() * MAX_RESERVED_MILLI).div_ceil(1000),
-        }
+        let rooms = endpoints.values().map(|it| EndpointRoom::new(it, now));
+        PlacementTimeline { rooms: rooms.collect() }
     }
 
     /// The rooms, in the order of the endpoints.
@@ -111,23 +105,16 @@
         usable.fold(ResourceAmount::default(), |largest, it| largest.max(&it.free))
     }
 
-    /// Whether a further endpoint may be reserved.
-    pub(crate) fn may_reserve(&self) -> bool {
-        0 < self.n_reservable
-    }
-
     /// Records a task that waits for an endpoint; returns whether it reserves the endpoint. A
     /// task that waits too long to keep the endpoint for it waits without a reservation.
     pub(crate) fn reserve(&mut self, job: JobCode, awaited: &AwaitedEndpoint) -> bool {
-        let may_reserve = self.may_reserve();
         let room = &mut self.rooms[awaited.index];
         room.has_waiter = true;
-        if !may_reserve || MAX_AHEAD_MS < awaited.starts_in_ms {
+        if MAX_AHEAD_MS < awaited.starts_in_ms {
             return false;
         }
         let AwaitedEndpoint { starts_in_ms, spare, .. } = *awaited;
         room.reservation = Some(Reservation { job, starts_in_ms, spare });
-        self.n_reservable -= 1;
         true
     }
 
