--- a/testutils/src/bin/cell_load.rs
+++ b/testutils/src/bin/cell_load.rs
@@ -30,48 +30,14 @@
     swing: bool,
 }
 
-/// Tasks of 16 cores within a fifth, on endpoints of 32 cores, one in three of 48: gaps of up
-/// to 6 cores remain beside two tasks. The load is the mean of the swing.
-fn swing_plan(args: &LoadArgs) -> LoadPlan {
-    let cores = (args.racks * args.endpoints) as f64 * 32.0 * (1.0 + 1.0 + 1.5) / 3.0;
-    let speed = (1.0 + 1.0 + 1.0 / 1.3) / 3.0;
-    // Jobs of seven times the work are 3 in 100.
-    let cores_at_100 = (181.0 * 8.0 * 0.051 + 33.0 * 4.0 * 0.76 + 528.0 * 2.0 * 0.17) * 16.0 * 1.18;
-    let scale = args.load as f64 / 100.0 * cores * speed / cores_at_100;
-    let kind = |route, per_s: f64, n_tasks, work_ms, priority, racks| LoadKind {
-        route,
-        per_s: per_s * scale,
-        n_tasks,
-        work_ms,
-        cpu: 16_000,
-        priority,
-        racks,
-    };
-    LoadPlan {
-        n_racks: args.racks,
-        n_endpoints: args.endpoints,
-        cpu: 32_000,
-        factors_milli: vec![1_000, 1_000, 1_300],
-        off_rack_milli: 3_000,
-        n_peers: args.peers,
-        span_ms: args.seconds * 1000,
-        kinds: vec![
-            kind("short", 181.0, 8, 51, 0, (0..args.racks).collect()),
-            kind("long", 33.0, 4, 760, 2, Vec::new()),
-            kind("small", 528.0, 2, 170, 1, Vec::new()),
-        ],
-        shape: LoadShape {
-            sizes_milli: vec![1000, 1000, 1500],
-            swing_milli: 550,
-            swing_ms: 15_000,
-            outlier_milli: 30,
-        },
-    }
-}
-
 fn main() {
     let args: LoadArgs = argh::from_env();
-    let plan = if args.swing { swing_plan(&args) } else { steady_plan(&args) };
+    let plan = if args.swing {
+        LoadPlan::swinging(args.racks, args.endpoints, args.load, args.seconds)
+    } else {
+        steady_plan(&args)
+    };
+    let plan = LoadPlan { n_peers: args.peers, ..plan };
     let mut world = LoadWorld::new(args.seed, &plan);
     world.run();
     print_outcomes("", &world.outcomes);
--- a/testutils/tests/test_load_patterns.rs
+++ b/testutils/tests/test_load_patterns.rs
@@ -1,6 +1,6 @@
 //! Load patterns of heavy days, played on one entry in virtual time.
 
-use yuccamux_testutils::load_world::{LoadKind, LoadPlan, LoadShape, LoadWorld};
+use yuccamux_testutils::load_world::{KindOutcome, LoadKind, LoadPlan, LoadShape, LoadWorld};
 
 /// Four racks of eight endpoints with two places each; a third of the endpoints is quick.
 fn plan(kinds: Vec<LoadKind>) -> LoadPlan {
@@ -62,3 +62,22 @@
         }
     }
 }
+
+/// Tasks of 13 to 19 cores on endpoints of 32 and 48, above the room at the peak of a swing. As
+/// narrow tasks took each gap first, the widest tenth of jobs earned 520 thousandths of their
+/// worth.
+#[test]
+fn widest_jobs_are_served_under_swinging_load_above_the_room() {
+    let mut total = KindOutcome::default();
+    for seed in 1..=8 {
+        let mut world = LoadWorld::new(seed, &LoadPlan::swinging(3, 20, 71, 30));
+        world.run();
+        for it in world.wide_outcomes.values() {
+            total.n_jobs += it.n_jobs;
+            total.n_in_time += it.n_in_time;
+            total.n_late += it.n_late;
+        }
+    }
+    println!("worth {} thousandths", total.worth_milli());
+    assert!(500 <= total.worth_milli(), "{total:?}");
+}
