cell: jobs of two routes with one id are not taken for one

A job with the id of another route's job joined that one: its caller got the other's answer, and a DELETE on one route cancelled the other's job. Endpoints name a task by the id alone, so two such jobs can't be at work on one endpoint without being confused.

Kept results and cancellings are matched by route as well. Jobs with one id in different cells are not compared.

job_with_the_id_of_another_routes_job_is_refused and job_of_another_route_with_the_same_id_is_left_alone fail with the comparison of routes taken out.

--- a/adapters/src/cell_service.rs
+++ b/adapters/src/cell_service.rs
@@ -45,7 +45,7 @@
 enum CellInput {
     Submit(CallNumber, JobOffer, oneshot::Sender<JobResult>),
     CallerLeft(CallNumber),
-    Cancel(CallNumber, JobCode, oneshot::Sender<CancelResult>),
+    Cancel(CallNumber, JobCode, String, oneshot::Sender<CancelResult>),
     Pending(String, oneshot::Sender<u64>),
     Outcome(EndpointOrder, OrderOutcome),
     Controls(Vec<VmName>),
@@ -105,11 +105,12 @@
         result
     }
 
-    /// Cancels a job, whichever entry holds it.
-    pub async fn cancel(&self, job: JobCode) -> CancelResult {
+    /// Cancels a job of a route, whichever entry holds it.
+    pub async fn cancel(&self, job: JobCode, route: &str) -> CancelResult {
         let number = self.next_call.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let (reply, answer) = oneshot::channel();
-        let _ = self.inbox.send(CellInput::Cancel(CallNumber(number), job, reply));
+        let _ =
+            self.inbox.send(CellInput::Cancel(CallNumber(number), job, route.to_owned(), reply));
         answer.await.unwrap_or(CancelResult::Unknown)
     }
 
@@ -232,9 +233,9 @@
                 self.calls.swap_remove(&call);
                 self.node.cancel_call(call, now);
             }
-            CellInput::Cancel(call, job, reply) => {
+            CellInput::Cancel(call, job, route, reply) => {
                 self.cancel_calls.insert(call, reply);
-                self.node.cancel(call, job, now);
+                self.node.cancel(call, job, &route, now);
             }
             CellInput::Pending(route, reply) => {
                 let _ = reply.send(self.node.n_pending(&route));
--- a/lib/src/cell/cell_dispatcher.rs
+++ b/lib/src/cell/cell_dispatcher.rs
@@ -132,7 +132,8 @@
     pub(super) highest_token: u64,
     pub(super) endpoints: IndexMap<EndpointName, EndpointState>,
     pub(super) jobs: IndexMap<JobCode, CellJob>,
-    pub(super) results: IndexMap<JobCode, JobResult>,
+    /// Results of ended jobs, with their routes.
+    pub(super) results: IndexMap<JobCode, (String, JobResult)>,
     /// Results of rejected offers: a repeated offer must not run.
     pub(super) refusals: IndexMap<(VmName, JobCode, u64), JobResult>,
     pub(super) result_times: VecDeque<(ClockTime, CachedResult)>,
--- a/lib/src/cell/cell_message.rs
+++ b/lib/src/cell/cell_message.rs
@@ -51,9 +51,9 @@
     EndpointsRequest,
     /// The routes in force.
     Plan(RoutePlan),
-    /// Cancels jobs, each given with the number of the sender's question whether the receiver is
+    /// Cancels jobs, each given with its route and the number of the sender's question whether the receiver is
     /// its origin; answered by [`CellMessage::CancelAnswers`].
-    CancelJobs(Vec<(JobCode, u64)>),
+    CancelJobs(Vec<(JobCode, String, u64)>),
     /// Answers to questions, each with whether the sender was the job's origin.
     CancelAnswers(Vec<(JobCode, u64, bool)>),
 }
--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -38,6 +38,17 @@
         now: ClockTime,
     ) {
         let code = offer.job;
+        if self.jobs.get(&code).is_some_and(|it| it.offer.route != offer.route) {
+            if offer.is_repeat {
+                let result = JobResult::Declined;
+                let effect = CellEffect::ReportResult(origin.clone(), code, offer.number, result);
+                self.effects.push(effect);
+                return;
+            }
+            let job = self.new_job(origin, offer, now);
+            self.refuse(&job, RefusalCause::SameId, 0, now);
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&code) {
             job.origin = origin.clone();
             job.last_keep_alive_at = job.last_keep_alive_at.max(sent_at);
@@ -48,7 +59,9 @@
             self.log_decision(record.for_job(code));
             return;
         }
-        if let Some(result) = self.results.get(&code).cloned() {
+        if let Some((route, result)) = self.results.get(&code).cloned()
+            && route == offer.route
+        {
             let record =
                 DecisionRecord::new(now, DecisionEvent::JobAttached, origin.as_str(), "ended");
             self.log_decision(record.for_job(code));
@@ -221,7 +234,7 @@
             return None;
         }
         let refused = self.refusals.get(&(origin.clone(), code, number));
-        let known = refused.or_else(|| self.results.get(&code)).cloned();
+        let known = refused.or_else(|| self.results.get(&code).map(|(_, it)| it)).cloned();
         Some(known.unwrap_or(JobResult::NotLeader))
     }
 
@@ -261,8 +274,11 @@
     /// job claims.
     ///
     /// Its entry is told that it failed, also when it offers the job again.
-    pub fn cancel_for_caller(&mut self, code: JobCode, now: ClockTime) {
-        if self.jobs.contains_key(&code) {
+    pub fn cancel_for_caller(&mut self, code: JobCode, route: &str, now: ClockTime) {
+        if let Some(job) = self.jobs.get(&code) {
+            if job.offer.route != route {
+                return;
+            }
             self.end_job(code, JobResult::Failed, now);
         }
         let mut runs = Vec::new();
@@ -317,7 +333,7 @@
             .with("age_ms", now.since_ms(job.arrived_at) + job.offer.age_ms)
             .with("late_ms", now.since_ms(job.due_at));
         self.log_decision(record);
-        self.results.insert(code, result.clone());
+        self.results.insert(code, (job.offer.route.clone(), result.clone()));
         self.result_times.push_back((now, CachedResult::End(code)));
         self.effects.push(CellEffect::ReportResult(job.origin, code, job.offer.number, result));
     }
@@ -328,7 +344,9 @@
                 return;
             }
             match self.result_times.pop_front() {
-                Some((_, CachedResult::End(code))) => self.results.swap_remove(&code),
+                Some((_, CachedResult::End(code))) => {
+                    self.results.swap_remove(&code).map(|(_, it)| it)
+                }
                 Some((_, CachedResult::Refusal(offer))) => self.refusals.swap_remove(&offer),
                 None => None,
             };
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -178,6 +178,8 @@
     QueueFull,
     /// No leader of a suitable cell can be reached.
     NoLeader,
+    /// A job with its id is at work for another route: endpoints name tasks by the id alone.
+    SameId,
 }
 
 /// Result of an offered job.
--- a/lib/src/cell/node_callers.rs
+++ b/lib/src/cell/node_callers.rs
@@ -12,6 +12,8 @@
     prelude::*,
 };
 
+/// Time after which a caller may submit a job again whose id another route's job has, in ms.
+const SAME_ID_RETRY_MS: u64 = 1_000;
 /// Run numbers of a task that are reserved for each leader to which its job is offered.
 const RUNS_PER_LEADER: u32 = 32;
 
@@ -20,7 +22,15 @@
     pub fn submit(&mut self, call: CallNumber, offer: JobOffer, now: ClockTime) {
         self.detect_stall(now);
         let code = offer.job;
-        self.forget_cancelled(code);
+        self.forget_cancelled(code, &offer.route);
+        if self.router.jobs.get(&code).is_some_and(|it| it.offer.route != offer.route) {
+            let result = JobResult::Refused(RefusalCause::SameId, SAME_ID_RETRY_MS);
+            self.effects.push(NodeEffect::Answer(call, result));
+            let subject = offer.route.as_str();
+            let record = DecisionRecord::new(now, DecisionEvent::JobRefused, subject, "SameId");
+            self.log_decision(record.for_job(code));
+            return;
+        }
         if let Some(known) = self.router.jobs.get_mut(&code) {
             // The caller has repeated its request, so the answer goes to the new call.
             let former = std::mem::replace(&mut known.call, call);
--- a/lib/src/cell/node_cancels.rs
+++ b/lib/src/cell/node_cancels.rs
@@ -51,6 +51,7 @@
 /// A call that waits for the answers of other entries.
 struct PendingCancel {
     call: CallNumber,
+    route: String,
     begun_at: ClockTime,
     /// Entries that have not answered; none before they were asked.
     unanswered: Option<IndexSet<VmName>>,
@@ -63,15 +64,15 @@
     n_inquiries: u64,
     next_batch_at: ClockTime,
     /// Jobs cancelled lately.
-    remembered: VecDeque<(ClockTime, JobCode)>,
+    remembered: VecDeque<(ClockTime, JobCode, String)>,
 }
 
 impl CellNode {
-    /// Cancels a job for a call, which is answered by [`NodeEffect::CancelAnswer`].
-    pub fn cancel(&mut self, call: CallNumber, code: JobCode, now: ClockTime) {
+    /// Cancels a job of a route for a call, which is answered by [`NodeEffect::CancelAnswer`].
+    pub fn cancel(&mut self, call: CallNumber, code: JobCode, route: &str, now: ClockTime) {
         self.detect_stall(now);
-        let was_here = self.cancel_held_job(code, now);
-        self.remember_cancelled(code, now);
+        let was_here = self.cancel_held_job(code, route, now);
+        self.remember_cancelled(code, route, now);
         if was_here {
             self.answer_cancel(call, code, CancelResult::Cancelled, now);
         } else if self.live_entries(now).is_empty() {
@@ -81,7 +82,8 @@
         } else {
             self.cancels.n_inquiries += 1;
             let key = (code, self.cancels.n_inquiries);
-            let pending = PendingCancel { call, begun_at: now, unanswered: None };
+            let pending =
+                PendingCancel { call, route: route.to_owned(), begun_at: now, unanswered: None };
             self.cancels.pending.insert(key, pending);
         }
         self.run_effects(now);
@@ -90,14 +92,15 @@
     /// Drops a job of a caller of this entry or of a cell that it leads; returns whether its caller was
     /// connected here. A leader's word alone is no proof: the entry of the job may be cut off from the
     /// leader, and offer the job to the next one.
-    fn cancel_held_job(&mut self, code: JobCode, now: ClockTime) -> bool {
-        let job = self.router.jobs.get(&code).map(|it| it.call);
+    fn cancel_held_job(&mut self, code: JobCode, route: &str, now: ClockTime) -> bool {
+        let job = self.router.jobs.get(&code).filter(|it| it.offer.route == route);
+        let job = job.map(|it| it.call);
         if let Some(call) = job {
             self.cancel_job(code, now);
             self.effects.push(NodeEffect::Answer(call, JobResult::Failed));
         }
         for led in self.led.values_mut() {
-            led.dispatcher.cancel_for_caller(code, now);
+            led.dispatcher.cancel_for_caller(code, route, now);
         }
         self.run_effects(now);
         job.is_some()
@@ -108,12 +111,12 @@
     pub(super) fn handle_cancels(
         &mut self,
         from: &VmName,
-        jobs: Vec<(JobCode, u64)>,
+        jobs: Vec<(JobCode, String, u64)>,
         now: ClockTime,
     ) {
         let mut answers = Vec::with_capacity(jobs.len());
-        for (code, inquiry) in jobs {
-            answers.push((code, inquiry, self.cancel_held_job(code, now)));
+        for (code, route, inquiry) in jobs {
+            answers.push((code, inquiry, self.cancel_held_job(code, &route, now)));
         }
         self.send(from, CellMessage::CancelAnswers(answers));
     }
@@ -168,16 +171,16 @@
         for (key, pending) in &mut self.cancels.pending {
             if pending.unanswered.is_none() {
                 pending.unanswered = Some(entries.clone());
-                jobs.push(*key);
+                jobs.push((key.0, pending.route.clone(), key.1));
             }
         }
         for vm in &entries {
             self.send(vm, CellMessage::CancelJobs(jobs.clone()));
         }
         if entries.is_empty() {
-            for key in jobs {
-                if let Some(pending) = self.cancels.pending.swap_remove(&key) {
-                    self.answer_cancel(pending.call, key.0, self.not_found(now), now);
+            for (code, _, inquiry) in jobs {
+                if let Some(pending) = self.cancels.pending.swap_remove(&(code, inquiry)) {
+                    self.answer_cancel(pending.call, code, self.not_found(now), now);
                 }
             }
         }
@@ -209,23 +212,24 @@
 
     /// Tells an entry that was lost of the jobs that were cancelled meanwhile.
     pub(super) fn repeat_cancels(&mut self, vm: &VmName) {
-        let jobs: Vec<(JobCode, u64)> =
-            self.cancels.remembered.iter().map(|(_, code)| (*code, 0)).collect();
+        let remembered = self.cancels.remembered.iter();
+        let jobs: Vec<(JobCode, String, u64)> =
+            remembered.map(|(_, code, route)| (*code, route.clone(), 0)).collect();
         if !jobs.is_empty() {
             self.send(vm, CellMessage::CancelJobs(jobs));
         }
     }
 
     /// Forgets the cancellation of a job that its caller submits again.
-    pub(super) fn forget_cancelled(&mut self, code: JobCode) {
-        self.cancels.remembered.retain(|(_, it)| *it != code);
+    pub(super) fn forget_cancelled(&mut self, code: JobCode, route: &str) {
+        self.cancels.remembered.retain(|(_, it, of)| *it != code || of != route);
     }
 
-    fn remember_cancelled(&mut self, code: JobCode, now: ClockTime) {
+    fn remember_cancelled(&mut self, code: JobCode, route: &str, now: ClockTime) {
         if MAX_REMEMBERED <= self.cancels.remembered.len() {
             self.cancels.remembered.pop_front();
         }
-        self.cancels.remembered.push_back((now, code));
+        self.cancels.remembered.push_back((now, code, route.to_owned()));
     }
 
     fn answer_cancel(
--- a/lib/tests/test_cell_cancel.rs
+++ b/lib/tests/test_cell_cancel.rs
@@ -5,7 +5,7 @@
     cell::{
         cell_message::{CellHeartbeat, CellMessage},
         cell_node::{CellNode, CellSettings, NodeEffect},
-        job_offer::{JobCode, JobOffer, JobResult, JobStep, ResourceAmount},
+        job_offer::{JobCode, JobOffer, JobResult, JobStep, RefusalCause, ResourceAmount},
         node_cancels::CancelResult,
         run_bounds::RunBounds,
     },
@@ -117,7 +117,7 @@
     }
 
     fn cancel(&mut self, name: &str, code: u64) {
-        self.with(name, |node, now| node.cancel(CANCEL, JobCode(code), now));
+        self.with(name, |node, now| node.cancel(CANCEL, JobCode(code), "route", now));
     }
 
     fn n_waiting(&self, name: &str) -> usize {
@@ -242,3 +242,19 @@
     // Three or four batches to 59 entries, and as many answers.
     assert!(entries.n_messages <= 4 * 59 * 2, "{} messages", entries.n_messages);
 }
+
+/// Guards against a call that cancels, or takes the answer of, another route's job with the same id.
+#[test]
+fn job_of_another_route_with_the_same_id_is_left_alone() {
+    let mut entries = Entries::named(&["a", "b"]);
+    entries.submit("a", 1);
+    entries.with("b", |node, now| node.cancel(CANCEL, JobCode(1), "other", now));
+    entries.advance_ms(100);
+    assert_eq!(entries.cancelled, [(VmName::from("b"), CancelResult::NotFound)]);
+    let other = JobOffer { route: "other".to_owned(), ..offer(1) };
+    entries.with("a", |node, now| node.submit(CallNumber(2), other, now));
+    entries.advance_ms(10);
+    let refused = JobResult::Refused(RefusalCause::SameId, 1_000);
+    assert_eq!(entries.answers, [(VmName::from("a"), refused)]);
+    assert_eq!(entries.n_waiting("a"), 1);
+}
--- a/lib/tests/test_cell_dispatcher.rs
+++ b/lib/tests/test_cell_dispatcher.rs
@@ -789,7 +789,7 @@
 fn leader_ends_a_job_that_its_caller_cancels_elsewhere() {
     let mut leader = TestLeader::new(&["a"]);
     leader.begin(offer(1, 2));
-    leader.dispatcher.cancel_for_caller(JobCode(1), leader.now);
+    leader.dispatcher.cancel_for_caller(JobCode(1), "route", leader.now);
     leader.drain();
     assert_eq!(leader.stops().len(), 2);
     assert_eq!(leader.results, [(JobCode(1), 1, JobResult::Failed)]);
@@ -803,7 +803,7 @@
 fn run_of_a_cancelled_job_is_stopped_though_no_job_claims_it() {
     let mut leader = TestLeader::unclaimed(&["a"]);
     leader.answer_poll("a", &[(task(1, 0), 1)], &[]);
-    leader.dispatcher.cancel_for_caller(JobCode(1), leader.now);
+    leader.dispatcher.cancel_for_caller(JobCode(1), "route", leader.now);
     leader.drain();
     assert_eq!(leader.stops().len(), 1);
 }
@@ -826,3 +826,19 @@
     leader.advance_ms(40);
     assert_eq!(leader.starts().len(), 1);
 }
+
+/// Guards against two routes' jobs with one id that are taken for one: the later one got the earlier
+/// one's answer. Endpoints name tasks by the id alone, so it is refused while the other is at work.
+#[test]
+fn job_with_the_id_of_another_routes_job_is_refused() {
+    let mut leader = TestLeader::new(&["a"]);
+    leader.begin(offer(1, 1));
+    leader.offer(JobOffer { route: "other".to_owned(), number: 9, ..offer(1, 1) });
+    let refused = JobResult::Refused(RefusalCause::SameId, 200);
+    assert_eq!(leader.results, [(JobCode(1), 9, refused)]);
+    leader.answer_poll("a", &[], &[end(1, task(1, 0), 1, RunEnd::Done)]);
+    assert_eq!(leader.results[1..], [(JobCode(1), 1, JobResult::Completed)]);
+    // It is not answered with the other one's result.
+    leader.offer(JobOffer { route: "other".to_owned(), number: 10, ..offer(1, 1) });
+    assert_eq!((leader.results.len(), leader.starts().len()), (2, 1));
+}
--- a/testutils/src/cell_world.rs
+++ b/testutils/src/cell_world.rs
@@ -948,7 +948,8 @@
         self.next_call += 1;
         let call = CallNumber(self.next_call);
         self.cancel_calls.insert(call, code);
-        self.with_node(&vm, |node, now| node.cancel(call, code, now));
+        let route = self.jobs[&code].offer.route.clone();
+        self.with_node(&vm, |node, now| node.cancel(call, code, &route, now));
     }
 
     fn take_cancel_answer(&mut self, call: CallNumber, result: CancelResult) {
