--- a/lib/src/cell/dispatch_jobs.rs
+++ b/lib/src/cell/dispatch_jobs.rs
@@ -42,6 +42,17 @@
         now: ClockTime,
     ) {
         let code = offer.job;
+        if self.jobs.get(&code).is_some_and(|it| it.offer.route != offer.route) {
+            if offer.is_repeat {
+                let result = JobResult::Declined;
+                let effect = CellEffect::ReportResult(origin.clone(), code, offer.number, result);
+                self.effects.push(effect);
+                return;
+            }
+            let job = self.new_job(origin, offer, now);
+            self.refuse(&job, RefusalCause::SameId, 0, now);
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(&code) {
             job.origin = origin.clone();
             job.last_keep_alive_at = job.last_keep_alive_at.max(sent_at);
@@ -52,7 +63,9 @@
             self.log_decision(record.for_job(code));
             return;
         }
-        if let Some(result) = self.results.get(&code).cloned() {
+        if let Some((route, result)) = self.results.get(&code).cloned()
+            && route == offer.route
+        {
             let record =
                 DecisionRecord::new(now, DecisionEvent::JobAttached, origin.as_str(), "ended");
             self.log_decision(record.for_job(code));
@@ -247,7 +260,7 @@
             return None;
         }
         let refused = self.refusals.get(&(origin.clone(), code, number));
-        let known = refused.or_else(|| self.results.get(&code)).cloned();
+        let known = refused.or_else(|| self.results.get(&code).map(|(_, it)| it)).cloned();
         Some(known.unwrap_or(JobResult::NotLeader))
     }
 
@@ -287,8 +300,11 @@
     /// job claims.
     ///
     /// Its entry is told that it failed, also when it offers the job again.
-    pub fn cancel_for_caller(&mut self, code: JobCode, now: ClockTime) {
-        if self.jobs.contains_key(&code) {
+    pub fn cancel_for_caller(&mut self, code: JobCode, route: &str, now: ClockTime) {
+        if let Some(job) = self.jobs.get(&code) {
+            if job.offer.route != route {
+                return;
+            }
             self.end_job(code, JobResult::Failed, now);
         }
         let mut runs = Vec::new();
@@ -351,7 +367,7 @@
             ServiceOutcome::Unserved
         };
         self.shares.record(&job.offer.route, &job.offer.centre, outcome, now);
-        self.results.insert(code, result.clone());
+        self.results.insert(code, (job.offer.route.clone(), result.clone()));
         self.result_times.push_back((now, CachedResult::End(code)));
         self.effects.push(CellEffect::ReportResult(job.origin, code, job.offer.number, result));
     }
@@ -362,7 +378,9 @@
                 return;
             }
             match self.result_times.pop_front() {
-                Some((_, CachedResult::End(code))) => self.results.swap_remove(&code),
+                Some((_, CachedResult::End(code))) => {
+                    self.results.swap_remove(&code).map(|(_, it)| it)
+                }
                 Some((_, CachedResult::Refusal(offer))) => {
                     let result = self.refusals.swap_remove(&offer);
                     if matches!(result, Some(JobResult::Refused(..))) {
--- a/lib/src/cell/job_offer.rs
+++ b/lib/src/cell/job_offer.rs
@@ -202,6 +202,8 @@
     NoLeader,
     /// Jobs that go before it need all the capacity until it could only end late.
     Overtaken,
+    /// A job with its id is at work for another route: endpoints name tasks by the id alone.
+    SameId,
 }
 
 /// Result of an offered job.
