http: bodies that wait for room notice that they are aborted

Seen by callers: with 64 MB of memory, new connections were reset after a crowd of large bodies had left; its places came back only when the time of its bodies was over.

Cause: a body that waits for the bytes of an aborted one looked only at the clock. When it was aborted itself, for a third one, it kept its bytes and went on waiting, so that bodies waited for each other. It did not read either, and so did not notice that its client was gone.

The wait ends when the body is aborted. Its bytes are then released at once, which is all that the other one waits for.

--- a/adapters/src/request_body.rs
+++ b/adapters/src/request_body.rs
@@ -137,10 +137,7 @@
             let frame = tokio::select! {
                 biased;
                 frame = self.incoming.frame() => frame,
-                () = self.reservation.wait_for_abort() => {
-                    self.is_aborted = true;
-                    return Err(short_budget());
-                }
+                () = self.reservation.wait_for_abort() => return Err(self.aborted()),
                 () = &mut time_limit => {
                     let until = self.time_limit();
                     if until <= Instant::now() {
@@ -215,13 +212,22 @@
                 GrowStep::Wait if self.time_limit() <= Instant::now() => {
                     return Err(short_budget());
                 }
-                GrowStep::Wait => time::sleep(RELEASE_WAIT).await,
+                // Bodies that wait for each other's bytes would hold them until their time is over.
+                GrowStep::Wait => tokio::select! {
+                    () = self.reservation.wait_for_abort() => return Err(self.aborted()),
+                    () = time::sleep(RELEASE_WAIT) => {}
+                },
             }
         }
         self.buffer.reserve_exact(capacity - self.buffer.len());
         Ok(())
     }
 
+    fn aborted(&mut self) -> RequestError {
+        self.is_aborted = true;
+        short_budget()
+    }
+
     /// Time at which the body is late: it has a limit as a whole, and keeps to the least rate.
     fn time_limit(&self) -> Instant {
         let rate = self.limits.min_body_rate.max(1) as f64;
