http: connections without a whole request give way to new ones

Seen by callers: beside clients that only connect, or send half of a head or of a body, ordinary callers were reset for as long as those stayed, 5 to 60 s.

Cause: a listener gave its places to whoever came first and closed further connections, whether or not those that it had would ever send a request.

Where a new connection finds no place, another one gives way: among those that have waited for their client for a second or longer idle ones first, then heads from the oldest, then bodies from the slowest, then unread answers; otherwise the one that was accepted first. So a newcomer has the time in which all places are taken anew to send its request. Requests that are being served stay. A body that gives way is refused with 503 and Retry-After. Where only served requests are left, the new connection gets such a refusal in place of a reset.

What a connection waits for is now changed by compare-and-exchange, so that neither this nor the time limits end a connection whose request has just become whole.

--- a/adapters/src/connection_guard.rs
+++ b/adapters/src/connection_guard.rs
@@ -1,13 +1,12 @@
-//! The connections of a process's listeners: how many there are, and how long each may take.
+//! What a process may hold for its callers: connections and bytes, shared by its listeners.
+//!
+//! [`listener_guard`](crate::listener_guard) applies the limits to the connections of one listener.
 
 use std::{
-    io::{self, IoSlice},
-    pin::Pin,
     sync::{
-        Arc, Mutex, PoisonError, Weak,
-        atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering},
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
@@ -18,17 +17,8 @@
     metrics::{counter::Counter, family::Family, gauge::Gauge},
     registry::Registry,
 };
-use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
-    task::AbortHandle,
-};
 
-use crate::{
-    byte_budget::{ByteBudget, ByteClass, Reservation},
-    http_server::ServerLimits,
-    process_setup,
-};
+use crate::{byte_budget::ByteBudget, process_setup};
 
 /// Largest read buffer of a connection, in bytes: a head of 16 KiB and what follows it.
 pub const MAX_BUFFER_BYTES: usize = 20 << 10;
@@ -103,8 +93,10 @@
 /// Why the guard refused or closed something.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GuardEvent {
-    /// A new connection was closed, as the listener or the process has too many.
+    /// A new connection was refused, as all open ones have requests that are being served.
     ConnectionRefused,
+    /// A connection without a whole request was closed to make room for a new one.
+    GaveWay,
     /// A connection was closed, as the head of a request took too long.
     SlowHead,
     /// A connection was closed, as it was idle for too long.
@@ -121,8 +113,9 @@
 
 impl GuardEvent {
     /// Every event, in the order of their numbers.
-    const ALL: [GuardEvent; 7] = [
+    const ALL: [GuardEvent; 8] = [
         GuardEvent::ConnectionRefused,
+        GuardEvent::GaveWay,
         GuardEvent::SlowHead,
         GuardEvent::IdleClosed,
         GuardEvent::UnreadAnswer,
@@ -135,6 +128,7 @@
     pub fn name(self) -> &'static str {
         match self {
             GuardEvent::ConnectionRefused => "connection_refused",
+            GuardEvent::GaveWay => "gave_way",
             GuardEvent::SlowHead => "slow_head",
             GuardEvent::IdleClosed => "idle_closed",
             GuardEvent::UnreadAnswer => "unread_answer",
@@ -191,6 +185,19 @@
         self.0.settings.max_connections - n_side_listeners * self.n_side_connections()
     }
 
+    /// Whether the process may have another connection.
+    pub(crate) fn has_place(&self) -> bool {
+        self.0.n_open.load(Ordering::Relaxed) < self.0.settings.max_connections
+    }
+
+    pub(crate) fn open_place(&self) {
+        self.0.n_open.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn close_place(&self) {
+        self.0.n_open.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Counts an event.
     pub fn record(&self, event: GuardEvent) {
         self.0.counts[event as usize].fetch_add(1, Ordering::Relaxed);
@@ -261,242 +268,3 @@
         ConnectionGuard::new(GuardSettings::default())
     }
 }
-
-/// What a connection waits for.
-const PHASE_IDLE: u8 = 0;
-const PHASE_HEAD: u8 = 1;
-const PHASE_SERVING: u8 = 2;
-
-/// The state of an open connection.
-#[derive(Debug)]
-pub struct ConnectionState {
-    guard: ConnectionGuard,
-    listener: Arc<ListenerShared>,
-    phase: AtomicU8,
-    /// Time on the listener's clock at which the phase began.
-    phase_since_ms: AtomicU64,
-    /// Time on the listener's clock since which the client has not read; 0 if it has.
-    unread_since_ms: AtomicU64,
-    _charge: Reservation,
-}
-
-/// What the connections of a listener share.
-#[derive(Debug)]
-struct ListenerShared {
-    /// Time for which the listener has run, in ms, advanced by [`ListenerGuard::sweep`]. It stands
-    /// still with the process, so that a freeze counts as no one's delay, and costs no system call
-    /// for a request.
-    now_ms: AtomicU64,
-    n_open: AtomicUsize,
-}
-
-impl ConnectionState {
-    /// The guard of the process.
-    pub fn guard(&self) -> &ConnectionGuard {
-        &self.guard
-    }
-
-    /// Notes that the head of a request is complete.
-    pub(crate) fn begin_request(&self) {
-        self.phase.store(PHASE_SERVING, Ordering::Relaxed);
-    }
-
-    /// Notes that the answer to a request is complete.
-    pub(crate) fn end_request(&self) {
-        self.set_phase(PHASE_IDLE);
-    }
-
-    fn set_phase(&self, phase: u8) {
-        self.phase_since_ms.store(self.now_ms(), Ordering::Relaxed);
-        self.phase.store(phase, Ordering::Relaxed);
-    }
-
-    fn note_read(&self) {
-        if self.phase.load(Ordering::Relaxed) == PHASE_IDLE {
-            self.set_phase(PHASE_HEAD);
-        }
-    }
-
-    fn note_write(&self, is_blocked: bool) {
-        if !is_blocked {
-            self.unread_since_ms.store(0, Ordering::Relaxed);
-        } else if self.unread_since_ms.load(Ordering::Relaxed) == 0 {
-            self.unread_since_ms.store(self.now_ms(), Ordering::Relaxed);
-        }
-    }
-
-    fn now_ms(&self) -> u64 {
-        self.listener.now_ms.load(Ordering::Relaxed)
-    }
-
-    /// The limit that the connection exceeds, if any.
-    fn exceeded_limit(&self, limits: &ServerLimits) -> Option<GuardEvent> {
-        let now_ms = self.now_ms();
-        let is_over = |since_ms: u64, limit: Duration| {
-            limit.as_millis() < u128::from(now_ms.saturating_sub(since_ms))
-        };
-        let unread_since_ms = self.unread_since_ms.load(Ordering::Relaxed);
-        if unread_since_ms != 0 && is_over(unread_since_ms, limits.write_timeout) {
-            return Some(GuardEvent::UnreadAnswer);
-        }
-        let phase_since_ms = self.phase_since_ms.load(Ordering::Relaxed);
-        match self.phase.load(Ordering::Relaxed) {
-            PHASE_HEAD if is_over(phase_since_ms, limits.header_timeout) => {
-                Some(GuardEvent::SlowHead)
-            }
-            PHASE_IDLE if unread_since_ms == 0 && is_over(phase_since_ms, limits.idle_timeout) => {
-                Some(GuardEvent::IdleClosed)
-            }
-            _ => None,
-        }
-    }
-}
-
-impl Drop for ConnectionState {
-    fn drop(&mut self) {
-        self.listener.n_open.fetch_sub(1, Ordering::Relaxed);
-        self.guard.0.n_open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// The connections of one listener.
-#[derive(Debug)]
-pub(crate) struct ListenerGuard {
-    guard: ConnectionGuard,
-    limits: ServerLimits,
-    shared: Arc<ListenerShared>,
-    /// The task of a connection owns its state, so that one that has ended counts no more.
-    open: Vec<(Weak<ConnectionState>, AbortHandle)>,
-    swept_at: Instant,
-}
-
-impl ListenerGuard {
-    pub(crate) fn new(guard: ConnectionGuard, limits: ServerLimits) -> ListenerGuard {
-        // The clock starts at 1, as 0 stands for no time.
-        let shared = ListenerShared { now_ms: AtomicU64::new(1), n_open: AtomicUsize::new(0) };
-        let (shared, swept_at) = (Arc::new(shared), Instant::now());
-        ListenerGuard { guard, limits, shared, open: Vec::new(), swept_at }
-    }
-
-    /// Time between two sweeps: fine enough for the shortest limit.
-    pub(crate) fn sweep_interval(&self) -> Duration {
-        let limits = &self.limits;
-        let shortest = limits.header_timeout.min(limits.idle_timeout).min(limits.write_timeout);
-        (shortest / 4).clamp(Duration::from_millis(10), Duration::from_millis(250))
-    }
-
-    /// Admits a new connection, or counts that it is closed as there are too many.
-    pub(crate) fn admit(&self) -> Option<Arc<ConnectionState>> {
-        let process = &self.guard.0;
-        let has_room = self.shared.n_open.load(Ordering::Relaxed) < self.limits.max_connections
-            && process.n_open.load(Ordering::Relaxed) < process.settings.max_connections;
-        let charge = has_room
-            .then(|| self.guard.budget().reserve(CONNECTION_BYTES, ByteClass::Small))
-            .flatten();
-        let Some(charge) = charge else {
-            self.guard.record(GuardEvent::ConnectionRefused);
-            return None;
-        };
-        self.shared.n_open.fetch_add(1, Ordering::Relaxed);
-        process.n_open.fetch_add(1, Ordering::Relaxed);
-        Some(Arc::new(ConnectionState {
-            guard: self.guard.clone(),
-            listener: Arc::clone(&self.shared),
-            phase: AtomicU8::new(PHASE_IDLE),
-            phase_since_ms: AtomicU64::new(self.shared.now_ms.load(Ordering::Relaxed)),
-            unread_since_ms: AtomicU64::new(0),
-            _charge: charge,
-        }))
-    }
-
-    /// Watches a connection that is served by a task.
-    pub(crate) fn watch(&mut self, state: Weak<ConnectionState>, task: AbortHandle) {
-        self.open.push((state, task));
-    }
-
-    /// Closes the connections that exceed a limit, and logs what was closed.
-    pub(crate) fn sweep(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.swept_at).min(2 * self.sweep_interval());
-        self.swept_at = now;
-        self.shared.now_ms.fetch_add(elapsed.as_millis() as u64, Ordering::Relaxed);
-        let (guard, limits) = (&self.guard, &self.limits);
-        self.open.retain(|(state, task)| {
-            let Some(state) = state.upgrade() else { return false };
-            let Some(event) = state.exceeded_limit(limits) else { return true };
-            guard.record(event);
-            task.abort();
-            false
-        });
-        guard.log_events(now);
-    }
-}
-
-/// A connection's stream, which notes reads and writes in its state.
-#[derive(Debug)]
-pub(crate) struct GuardedStream {
-    stream: TcpStream,
-    state: Arc<ConnectionState>,
-}
-
-impl GuardedStream {
-    pub(crate) fn new(stream: TcpStream, state: Arc<ConnectionState>) -> GuardedStream {
-        GuardedStream { stream, state }
-    }
-
-    fn note_write(
-        &self,
-        result: Poll<io::Result<usize>>,
-        n_bytes: usize,
-    ) -> Poll<io::Result<usize>> {
-        let is_whole = matches!(&result, Poll::Ready(Ok(n_written)) if n_bytes <= *n_written);
-        self.state.note_write(!is_whole);
-        result
-    }
-}
-
-impl AsyncRead for GuardedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let n_before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if n_before < buffer.filled().len() {
-            self.state.note_read();
-        }
-        result
-    }
-}
-
-impl AsyncWrite for GuardedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.note_write(result, bytes.len())
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.note_write(result, slices.iter().map(|it| it.len()).sum())
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -27,7 +27,10 @@
 
 use crate::{
     api_types::{ErrorAnswer, ErrorBody},
-    connection_guard::{ConnectionGuard, GuardedStream, ListenerGuard, MAX_BUFFER_BYTES},
+    connection_guard::{ConnectionGuard, MAX_BUFFER_BYTES},
+    connection_refusal::RefusalDesk,
+    guarded_connection::GuardedStream,
+    listener_guard::ListenerGuard,
     request_body::{AnswerBody, RequestBody},
 };
 
@@ -112,6 +115,7 @@
 {
     let graceful = GracefulShutdown::new();
     let mut connections = ListenerGuard::new(guard, limits);
+    let refusals = RefusalDesk::new();
     let mut sweeps = time::interval(connections.sweep_interval());
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -129,19 +133,23 @@
             }
             () = wait_for_stop(&mut stop) => break,
         };
-        let Some(state) = connections.admit() else { continue };
+        let Some(admitted) = connections.admit() else {
+            refusals.refuse(stream);
+            continue;
+        };
+        let state = admitted.state;
         let _ = stream.set_nodelay(true);
         let handle = handle.clone();
         let stream = GuardedStream::new(stream, Arc::clone(&state));
         let watched = Arc::downgrade(&state);
         let service = service_fn(move |request| {
             let state = Arc::clone(&state);
-            state.begin_request();
             let body_state = Arc::clone(&state);
-            let handled =
-                handle(request.map(|incoming| RequestBody { incoming, state: body_state }));
+            let handled = state.begin_request().then(|| {
+                handle(request.map(|incoming| RequestBody { incoming, state: body_state }))
+            });
             async move {
-                let answer = handled.await;
+                let answer = handled.ok_or(CloseConnection)?.await;
                 state.end_request();
                 answer.map(|it| it.map(|body| AnswerBody::new(body, &state)))
             }
@@ -158,6 +166,11 @@
         // When a connection fails there is no peer left to report to.
         let task = tokio::spawn(graceful.watch(connection));
         connections.watch(watched, task.abort_handle());
+        if admitted.made_room {
+            // The connection that gave way releases what it holds, and the new one reads its
+            // request, before more are accepted.
+            tokio::task::yield_now().await;
+        }
     }
     drop(listener);
     let sweeping = async {
--- a/adapters/src/request_body.rs
+++ b/adapters/src/request_body.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     byte_budget::{BodyReservation, ByteClass, GrowStep, Reservation, SMALL_REQUEST_BYTES},
-    connection_guard::{ConnectionState, GuardEvent},
+    connection_guard::GuardEvent,
+    guarded_connection::ConnectionState,
     http_server::ServerLimits,
 };
 
@@ -72,8 +73,10 @@
 /// `BodyTooLarge`, `SlowRequest`, `Overloaded` when the byte budget is short, or `InvalidBody`
 /// when the body ends early.
 pub async fn read_body(body: RequestBody, limits: &ServerLimits) -> Result<Bytes, RequestError> {
-    let guard = body.state.guard().clone();
+    let state = body.connection();
+    let guard = state.guard();
     let max_bytes = limits.max_body_bytes.min(guard.budget().max_request_bytes());
+    state.begin_body();
     let mut reader = BodyReader::new(body, limits, max_bytes);
     let result = reader.read().await;
     let result = match result {
@@ -83,6 +86,7 @@
             Err(error)
         }
     };
+    state.end_body();
     match result.as_ref().map_err(|it| it.kind) {
         Err(ErrorKind::BodyTooLarge) => guard.record(GuardEvent::LargeBody),
         Err(ErrorKind::SlowRequest) => guard.record(GuardEvent::SlowBody),
@@ -94,13 +98,14 @@
 
 struct BodyReader<'a> {
     incoming: Incoming,
+    state: Arc<ConnectionState>,
     limits: &'a ServerLimits,
     max_bytes: usize,
     /// Length that the body is to have, as far as its head tells.
     declared: Option<usize>,
     started_at: Instant,
     n_read: usize,
-    /// Whether another request needed the bytes more.
+    /// Whether another request needed the bytes or the connection's place more.
     is_aborted: bool,
     buffer: Vec<u8>,
     reservation: BodyReservation,
@@ -121,6 +126,7 @@
             buffer: Vec::new(),
             reservation: body.state.guard().budget().open_body(class, started_at),
             incoming: body.incoming,
+            state: body.state,
         }
     }
 
@@ -137,7 +143,7 @@
             let frame = tokio::select! {
                 biased;
                 frame = self.incoming.frame() => frame,
-                () = self.reservation.wait_for_abort() => return Err(self.aborted()),
+                () = wait_for_abort(&self.reservation, &self.state) => return Err(self.aborted()),
                 () = &mut time_limit => {
                     let until = self.time_limit();
                     if until <= Instant::now() {
@@ -157,6 +163,7 @@
                     // Trailers are ignored.
                     let Ok(data) = frame.into_data() else { continue };
                     self.n_read += data.len();
+                    self.state.note_body_bytes(data.len());
                     self.append(&data).await?;
                 }
             }
@@ -180,9 +187,14 @@
         drop((self.buffer, self.reservation));
         let until = self.started_at + self.limits.body_timeout;
         while self.n_read < self.max_bytes {
-            let frame = time::timeout_at(until.into(), self.incoming.frame()).await;
+            let frame = tokio::select! {
+                frame = time::timeout_at(until.into(), self.incoming.frame()) => frame,
+                () = self.state.wait_to_give_way() => return,
+            };
             let Ok(Some(Ok(frame))) = frame else { return };
-            self.n_read += frame.data_ref().map_or(0, Bytes::len);
+            let n_bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.n_read += n_bytes;
+            self.state.note_body_bytes(n_bytes);
         }
     }
 
@@ -214,7 +226,9 @@
                 }
                 // Bodies that wait for each other's bytes would hold them until their time is over.
                 GrowStep::Wait => tokio::select! {
-                    () = self.reservation.wait_for_abort() => return Err(self.aborted()),
+                    () = wait_for_abort(&self.reservation, &self.state) => {
+                        return Err(self.aborted());
+                    }
                     () = time::sleep(RELEASE_WAIT) => {}
                 },
             }
@@ -246,6 +260,14 @@
     }
 }
 
+/// Waits until another request needs the bytes of a body, or the place of its connection, more.
+async fn wait_for_abort(reservation: &BodyReservation, state: &ConnectionState) {
+    tokio::select! {
+        () = reservation.wait_for_abort() => {}
+        () = state.wait_to_give_way() => {}
+    }
+}
+
 /// The bytes of a body, with their reservation.
 struct ReservedBytes {
     bytes: Vec<u8>,
--- a/adapters/tests/test_http_guard.rs
+++ b/adapters/tests/test_http_guard.rs
@@ -181,6 +181,62 @@
     assert!(read_answer(&mut small, b"body").await.starts_with(b"HTTP/1.1 200"));
 }
 
+/// Settings with room for four connections.
+fn four_places() -> GuardSettings {
+    GuardSettings { budget_bytes: 1 << 20, max_connections: 4 }
+}
+
+/// Guards against places that clients without a whole request keep, and against a body that is
+/// closed without an answer to make room.
+#[tokio::test]
+async fn connections_without_a_request_give_way() {
+    let server = serve(four_places(), ServerLimits::default(), Duration::ZERO).await;
+    let mut short = post(b"body");
+    short.pop();
+    let mut half_bodies = Vec::new();
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(server.address).await.unwrap();
+        stream.write_all(&short).await.unwrap();
+        half_bodies.push(stream);
+    }
+    // Time until their bodies are waited for.
+    time::sleep(Duration::from_millis(100)).await;
+    let mut caller = TcpStream::connect(server.address).await.unwrap();
+    caller.write_all(&post(b"body")).await.unwrap();
+    assert!(read_answer(&mut caller, b"body").await.starts_with(b"HTTP/1.1 200"));
+    let refusal = read_answer(&mut half_bodies[0], b"no end but that of the connection").await;
+    let refusal = String::from_utf8_lossy(&refusal);
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.contains("retry-after: 1") && refusal.contains("not_run"), "{refusal}");
+    assert_eq!(server.guard.n_events(GuardEvent::GaveWay), 1);
+}
+
+/// Guards against a request that is cut off while it is served, and against a newcomer that is
+/// reset without an answer.
+#[tokio::test]
+async fn served_requests_keep_their_places() {
+    let server = serve(four_places(), ServerLimits::default(), Duration::from_secs(2)).await;
+    let mut callers = Vec::new();
+    for _ in 0..4 {
+        let mut stream = TcpStream::connect(server.address).await.unwrap();
+        stream.write_all(&post(b"body")).await.unwrap();
+        callers.push(stream);
+    }
+    // Time until they are served.
+    time::sleep(Duration::from_millis(100)).await;
+    let mut newcomer = TcpStream::connect(server.address).await.unwrap();
+    newcomer.write_all(&post(b"body")).await.unwrap();
+    let refusal = read_answer(&mut newcomer, b"no end but that of the connection").await;
+    let refusal = String::from_utf8_lossy(&refusal);
+    assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
+    assert!(refusal.contains("retry-after: 1") && refusal.contains("not_run"), "{refusal}");
+    for caller in &mut callers {
+        assert!(read_answer(caller, b"body").await.starts_with(b"HTTP/1.1 200"));
+    }
+    assert_eq!(server.guard.n_events(GuardEvent::ConnectionRefused), 1);
+    assert_eq!(server.guard.n_events(GuardEvent::GaveWay), 0);
+}
+
 /// A request with a random head and body, and the body.
 fn random_request(rng: &mut ChaCha8Rng) -> (Vec<u8>, Vec<u8>) {
     let mut below = |limit: u32| (rng.next_u32() % limit) as usize;
