http: a large body gives way to a new connection

Cause: large bodies may use three quarters of the byte budget and connections half of it.

A new connection now aborts large bodies, as a body that needs room does, and takes the bytes ahead that they are about to release. Only where none is left does another connection give way.

--- a/adapters/src/byte_budget.rs
+++ b/adapters/src/byte_budget.rs
@@ -107,6 +107,21 @@
         Some(Reservation { budget: self.clone(), n_bytes })
     }
 
+    /// Reserves bytes for a new connection. Where there is no room, a large body is aborted, and
+    /// the bytes that it is about to release are reserved ahead.
+    pub fn reserve_connection(&self, n_bytes: usize, now: Instant) -> Option<Reservation> {
+        let mut state = self.lock();
+        while self.0.total + state.freeing < state.used + n_bytes {
+            let Some(number) = state.next_abort(now) else {
+                state.n_refused += 1;
+                return None;
+            };
+            state.abort(number);
+        }
+        state.used += n_bytes;
+        Some(Reservation { budget: self.clone(), n_bytes })
+    }
+
     /// Counts bytes that are held already, also beyond the total: an answer that is ready is
     /// delivered, and what comes after it is refused.
     pub fn count_held(&self, n_bytes: usize) -> Reservation {
@@ -161,6 +176,13 @@
         let key = |(number, body): &(&BodyNumber, &OpenBody)| (is_stalled(body), number.0);
         self.bodies.iter().max_by_key(key).map(|(number, _)| *number)
     }
+
+    fn abort(&mut self, number: BodyNumber) {
+        let Some(body) = self.bodies.swap_remove(&number) else { return };
+        self.freeing += body.n_bytes;
+        self.n_aborted += 1;
+        body.abort.notify_one();
+    }
 }
 
 /// Reserved bytes, released when dropped.
@@ -208,10 +230,8 @@
             state.n_refused += 1;
             return GrowStep::Refused;
         }
-        if let Some(body) = aborted.and_then(|it| state.bodies.swap_remove(&it)) {
-            state.freeing += body.n_bytes;
-            state.n_aborted += 1;
-            body.abort.notify_one();
+        if let Some(number) = aborted {
+            state.abort(number);
         }
         GrowStep::Wait
     }
--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -133,7 +133,7 @@
             }
             () = wait_for_stop(&mut stop) => break,
         };
-        let Some(admitted) = connections.admit() else {
+        let Some(admitted) = connections.admit(Instant::now()) else {
             refusals.refuse(stream);
             continue;
         };
--- a/adapters/src/listener_guard.rs
+++ b/adapters/src/listener_guard.rs
@@ -8,7 +8,6 @@
 use tokio::task::AbortHandle;
 
 use crate::{
-    byte_budget::ByteClass,
     connection_guard::{CONNECTION_BYTES, ConnectionGuard, GuardEvent},
     connection_order::{self, GiveWayRank},
     guarded_connection::{CloseStep, ConnectionState, ListenerShared},
@@ -72,12 +71,12 @@
 
     /// Admits a new connection; where there is no room, another gives way. None if all open ones
     /// have requests that are being served.
-    pub(crate) fn admit(&mut self) -> Option<AdmittedConnection> {
+    pub(crate) fn admit(&mut self, now: Instant) -> Option<AdmittedConnection> {
         let n_open = self.shared.n_open.load(Ordering::Relaxed);
         let has_place = n_open < self.limits.max_connections && self.guard.has_place();
         let budget = self.guard.budget();
         let reserved =
-            has_place.then(|| budget.reserve(CONNECTION_BYTES, ByteClass::Small)).flatten();
+            has_place.then(|| budget.reserve_connection(CONNECTION_BYTES, now)).flatten();
         let made_room = reserved.is_none();
         let charge = match reserved {
             Some(charge) => charge,
--- a/adapters/tests/test_byte_budget.rs
+++ b/adapters/tests/test_byte_budget.rs
@@ -79,3 +79,21 @@
     drop(read);
     assert_eq!(budget.counts().used, 0);
 }
+
+/// Guards against large bodies because of which a new connection is refused.
+#[tokio::test]
+async fn large_body_gives_way_to_a_connection() {
+    let budget = ByteBudget::new(TOTAL);
+    let now = Instant::now();
+    let large = open_large(&budget, 750, now);
+    let _small = budget.reserve(200, ByteClass::Small).expect("the reserved share");
+    let first = budget.reserve_connection(100, now).expect("room after the large body");
+    assert!(is_aborted(&large).await);
+    // The bytes that are about to be released suffice for more connections, but not for any.
+    let second = budget.reserve_connection(700, now).expect("room after the large body");
+    assert!(budget.reserve_connection(1, now).is_none());
+    drop(large);
+    assert_eq!((budget.counts().used, budget.counts().n_aborted), (TOTAL, 1));
+    drop((first, second));
+    assert_eq!(budget.counts().used, 200);
+}
