endpoints: answers have a size, each and together

Seen: eight endpoints whose answers never end took an entry to 131 MB within the time of three calls each, with 64 MB to use.

Cause: an answer could have 64 MiB, each call for itself, and the receive buffer of its connection grew while it was read.

Their bytes are reserved before a buffer grows. Connections to endpoints request a receive buffer of 64 KiB.

--- a/adapters/src/connection_pool.rs
+++ b/adapters/src/connection_pool.rs
@@ -2,30 +2,42 @@
 //!
 //! A request that was never handed to a connection's writer is "not written". Once it
 //! was, it may have been received, and only a response tells whether it was.
+//!
+//! What is held of answers is bounded, each by itself and all together, as are the bytes of a
+//! connection that wait to be read.
 
 use std::{
     collections::VecDeque,
+    io,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use tokio::{net::TcpStream, time};
+use tokio::{
+    net::{self, TcpSocket, TcpStream},
+    time,
+};
+
+use crate::byte_budget::{ByteBudget, ByteClass, Reservation, SMALL_REQUEST_BYTES};
 
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which an idle connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Largest answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Receive buffer of a connection, in bytes.
+const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
+/// Largest read buffer of a connection, in bytes.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 
 type RequestSender = SendRequest<Full<Bytes>>;
 
@@ -45,10 +57,33 @@
     Lost(String),
 }
 
+/// Limits on the answers that a pool reads.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerLimits {
+    /// Largest answer, in bytes.
+    pub max_bytes: usize,
+    /// Bytes of answers that are being read at most, over all connections.
+    pub max_total_bytes: usize,
+}
+
+impl Default for AnswerLimits {
+    fn default() -> AnswerLimits {
+        AnswerLimits { max_bytes: 64 << 20, max_total_bytes: 256 << 20 }
+    }
+}
+
 /// Idle connections by host and port.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionPool {
     idle: Arc<Mutex<IndexMap<String, VecDeque<IdleConnection>>>>,
+    limits: AnswerLimits,
+    budget: ByteBudget,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> ConnectionPool {
+        ConnectionPool::with_limits(AnswerLimits::default())
+    }
 }
 
 impl ConnectionPool {
@@ -57,6 +92,12 @@
         ConnectionPool::default()
     }
 
+    /// No connections yet, with limits on the answers.
+    pub fn with_limits(limits: AnswerLimits) -> ConnectionPool {
+        let budget = ByteBudget::new(limits.max_total_bytes);
+        ConnectionPool { idle: Arc::default(), limits, budget }
+    }
+
     /// Sends a request and reads its whole response.
     ///
     /// # Errors
@@ -117,13 +158,42 @@
         response: Response<Incoming>,
     ) -> Result<Response<Bytes>, SendError> {
         let (parts, body) = response.into_parts();
-        match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-            Ok(collected) => {
+        match self.read_body(body).await {
+            Ok(bytes) => {
                 self.return_idle(address, sender);
-                Ok(Response::from_parts(parts, collected.to_bytes()))
+                Ok(Response::from_parts(parts, bytes))
+            }
+            // The connection is closed with its sender.
+            Err(problem) => Err(SendError::Lost(format!("the answer was cut off: {problem}"))),
+        }
+    }
+
+    /// Reads a body into a buffer whose bytes are reserved before it grows.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, String> {
+        let mut bytes = Vec::new();
+        let mut reservations: Vec<Reservation> = Vec::new();
+        let declared = body.size_hint().exact().map_or(0, |it| it as usize);
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| error.to_string())?;
+            // Trailers are ignored.
+            let Ok(data) = frame.into_data() else { continue };
+            let n_bytes = bytes.len() + data.len();
+            if self.limits.max_bytes < n_bytes.max(declared) {
+                return Err(format!("it is over {} bytes", self.limits.max_bytes));
+            }
+            if bytes.capacity() < n_bytes {
+                let capacity = n_bytes.max(declared).max(2 * bytes.capacity());
+                let more = capacity - bytes.capacity();
+                // A share is kept for short answers, which most are.
+                let is_short = capacity <= SMALL_REQUEST_BYTES;
+                let class = if is_short { ByteClass::Small } else { ByteClass::Large };
+                let reservation = self.budget.reserve(more, class);
+                reservations.push(reservation.ok_or("other answers hold too many bytes")?);
+                bytes.reserve_exact(capacity - bytes.len());
             }
-            Err(error) => Err(SendError::Lost(format!("the answer was cut off: {error}"))),
+            bytes.extend_from_slice(&data);
         }
+        Ok(bytes.into())
     }
 
     fn take_idle(&self, address: &str) -> Option<RequestSender> {
@@ -150,15 +220,29 @@
 }
 
 async fn connect(address: &str) -> Result<RequestSender, String> {
-    let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    let connecting = time::timeout(CONNECT_TIMEOUT, open_stream(address)).await;
     let stream = match connecting {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(format!("could not connect to {address}: {error}")),
         Err(_) => return Err(format!("connecting to {address} took too long")),
     };
     let _ = stream.set_nodelay(true);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| error.to_string())?;
     tokio::spawn(connection);
     Ok(sender)
 }
+
+async fn open_stream(address: &str) -> io::Result<TcpStream> {
+    // Names are resolved as by `TcpStream::connect`; the first address is used.
+    let resolved = net::lookup_host(address).await?.next();
+    let address = resolved.ok_or(io::ErrorKind::AddrNotAvailable)?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.connect(address).await
+}
