http: answers of a process that is going to stop close their connections

Seen by callers: the same cut, on a connection that had served others. Cause: an entry goes on for 2.5 s after it is told to stop, while the balancer turns to others; then it closes all connections that are idle at that moment, among them those in constant use, and a request that arrives at the same moment is reset.

From the request to stop on, each answer is the last one on its connection and says so. A client in constant use then turns elsewhere between two requests; only connections that have been idle for the whole time are closed at its end.

answers_before_a_stop_close_their_connections fails without the change.

--- a/adapters/src/connection_guard.rs
+++ b/adapters/src/connection_guard.rs
@@ -6,7 +6,7 @@
     ops::RangeInclusive,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -170,6 +170,7 @@
     budget: ByteBudget,
     settings: GuardSettings,
     n_open: AtomicUsize,
+    is_stopping: AtomicBool,
     counts: [AtomicU64; GuardEvent::ALL.len()],
     /// The counts at the last log line, and its time.
     logged: Mutex<([u64; GuardEvent::ALL.len()], Option<Instant>)>,
@@ -182,6 +183,7 @@
             budget: ByteBudget::new(settings.budget_bytes),
             settings,
             n_open: AtomicUsize::new(0),
+            is_stopping: AtomicBool::new(false),
             counts: Default::default(),
             logged: Mutex::default(),
         }))
@@ -202,6 +204,16 @@
         self.0.settings.max_connections - n_side_listeners * self.n_side_connections()
     }
 
+    /// Notes that the process is going to stop: each answer is the last one on its connection, so
+    /// that few connections are left which a request reaches just as they are closed.
+    pub fn announce_stop(&self) {
+        self.0.is_stopping.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.0.is_stopping.load(Ordering::Relaxed)
+    }
+
     /// Whether the process may have another connection.
     pub(crate) fn has_place(&self) -> bool {
         self.0.n_open.load(Ordering::Relaxed) < self.0.settings.max_connections
--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
-    header::{CONTENT_TYPE, RETRY_AFTER},
+    header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER},
     service::service_fn,
 };
 use hyper_util::{
@@ -164,7 +164,11 @@
             async move {
                 let answer = handled.ok_or(CloseConnection)?.await;
                 state.end_request();
-                answer.map(|it| it.map(|body| AnswerBody::new(body, &state)))
+                let mut answer = answer?;
+                if state.guard().is_stopping() {
+                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, CloseConnection>(answer.map(|body| AnswerBody::new(body, &state)))
             }
         });
         // `max_headers` stays at hyper's default of 100: any explicit value moves the parsed
--- a/adapters/tests/test_http_guard.rs
+++ b/adapters/tests/test_http_guard.rs
@@ -237,6 +237,25 @@
     assert_eq!(server.guard.n_events(GuardEvent::GaveWay), 0);
 }
 
+/// Guards against connections that stay in use until a process closes them, whichever request is
+/// on its way just then.
+#[tokio::test]
+async fn answers_before_a_stop_close_their_connections() {
+    let server = serve(roomy(), ServerLimits::default(), Duration::ZERO).await;
+    let mut caller = TcpStream::connect(server.address).await.unwrap();
+    caller.write_all(&post(b"body")).await.unwrap();
+    assert!(read_answer(&mut caller, b"body").await.starts_with(b"HTTP/1.1 200"));
+    server.guard.announce_stop();
+    caller.write_all(&post(b"body")).await.unwrap();
+    let answer = read_answer(&mut caller, b"no end but that of the connection").await;
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
+    // New connections are still served.
+    let mut newcomer = TcpStream::connect(server.address).await.unwrap();
+    newcomer.write_all(&post(b"body")).await.unwrap();
+    assert!(read_answer(&mut newcomer, b"body").await.starts_with(b"HTTP/1.1 200"));
+}
+
 /// Guards against clients that were connected, and are reset as they wait to be accepted when the
 /// listener is closed.
 #[tokio::test]
