http, links: bounds on refusals, closing connections and buffers of links

- A crowd that connects without end could keep a stopping process accepting.
As many are accepted as can wait at the stop.
- Refusals and closing bodies, 32 each for every listener, could take more than the descriptors of a small VM; 8 are enough, as each takes a round trip.
- A receive buffer of 1 MiB for each peer is more than a VM can hold for a hundred peers; 128 KiB carries what links carry.
- The connection pool tried the first address of a name only, and tries all again.

--- a/adapters/src/connection_pool.rs
+++ b/adapters/src/connection_pool.rs
@@ -235,14 +235,19 @@
     Ok(sender)
 }
 
+/// Connects to the first address of a host that accepts.
 async fn open_stream(address: &str) -> io::Result<TcpStream> {
-    // Names are resolved as by `TcpStream::connect`; the first address is used.
-    let resolved = net::lookup_host(address).await?.next();
-    let address = resolved.ok_or(io::ErrorKind::AddrNotAvailable)?;
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.connect(address).await
+    let mut last_error = io::ErrorKind::AddrNotAvailable.into();
+    for address in net::lookup_host(address).await? {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+        match socket.connect(address).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => last_error = error,
+        }
+    }
+    Err(last_error)
 }
--- a/adapters/src/connection_refusal.rs
+++ b/adapters/src/connection_refusal.rs
@@ -14,7 +14,7 @@
 use crate::http_server;
 
 /// Connections that are refused at once; further ones are closed without an answer.
-const MAX_REFUSALS: usize = 32;
+const MAX_REFUSALS: usize = 8;
 /// Time for a refusal, until the client has closed its connection.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes of a request that are read and dropped: with unread ones, closing the connection
--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -32,6 +32,7 @@
     connection_refusal::RefusalDesk,
     guarded_connection::GuardedStream,
     listener_guard::ListenerGuard,
+    process_setup,
     request_body::{AnswerBody, RequestBody},
 };
 
@@ -119,15 +120,17 @@
     let refusals = RefusalDesk::new();
     let mut sweeps = time::interval(connections.sweep_interval());
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut is_stopping = false;
+    // After the stop, the most that may still wait to be accepted.
+    let mut n_waiting: Option<usize> = None;
     loop {
-        let accepted = if is_stopping {
+        let accepted = if let Some(n_left) = n_waiting {
             // Clients that were connected before the stop are served: closing the listener would
             // reset them, whether or not they have sent a request.
+            n_waiting = n_left.checked_sub(1);
             tokio::task::yield_now().await;
             match listener.accept().now_or_never() {
-                Some(accepted) => accepted,
-                None => break,
+                Some(accepted) if n_waiting.is_some() => accepted,
+                _ => break,
             }
         } else {
             tokio::select! {
@@ -137,7 +140,7 @@
                     continue;
                 }
                 () = wait_for_stop(&mut stop) => {
-                    is_stopping = true;
+                    n_waiting = Some(process_setup::N_WAITING);
                     continue;
                 }
             }
--- a/adapters/src/link_handshake.rs
+++ b/adapters/src/link_handshake.rs
@@ -35,7 +35,7 @@
 /// Receive buffer of a connection without a first frame, in bytes.
 const HANDSHAKE_RECEIVE_BYTES: usize = 8 << 10;
 /// Receive buffer of a connection whose peer is known, in bytes.
-const LINK_RECEIVE_BYTES: usize = 1 << 20;
+const LINK_RECEIVE_BYTES: usize = 128 << 10;
 /// Body of a first frame that carries no message. Builds without handshakes take it for a message
 /// of an unknown kind, which they acknowledge and ignore.
 const HELLO_MARK: u32 = u32::MAX;
--- a/adapters/src/listener_guard.rs
+++ b/adapters/src/listener_guard.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     connection_guard::{CONNECTION_BYTES, ConnectionGuard, GuardEvent},
-    connection_order::{self, GiveWayRank},
+    connection_order::{self, ConnectionPhase, GiveWayRank},
     guarded_connection::{CloseStep, ConnectionState, ListenerShared},
     http_server::ServerLimits,
 };
@@ -17,7 +17,7 @@
 /// Connections that are found at once to give way one after the other.
 const N_CANDIDATES: usize = 16;
 /// Most connections that gave way and still write an answer; further ones end without.
-const MAX_CLOSING: usize = 32;
+const MAX_CLOSING: usize = 8;
 
 /// The connections of one listener.
 #[derive(Debug)]
@@ -155,6 +155,15 @@
         self.open.retain(|connection| {
             let Some(state) = connection.state.upgrade() else { return false };
             let Some(event) = state.exceeded_limit(limits) else { return true };
+            let phase = match event {
+                GuardEvent::SlowHead => Some(ConnectionPhase::Head),
+                GuardEvent::IdleClosed => Some(ConnectionPhase::Idle),
+                _ => None,
+            };
+            if phase.is_some_and(|it| state.close(it, 0).is_none()) {
+                // It has gone on to the next phase meanwhile.
+                return true;
+            }
             guard.record(event);
             connection.task.abort();
             false
