--- a/adapters/src/connection_guard.rs
+++ b/adapters/src/connection_guard.rs
@@ -1,6 +1,6 @@
 //! What a process may hold for its callers: connections and bytes, shared by its listeners.
 //!
-//! [`listener_guard`](crate::listener_guard) applies the limits to the connections of one listener.
+//! The module `listener_guard` applies the limits to the connections of one listener.
 
 use std::{
     ops::RangeInclusive,
--- a/adapters/src/peer_link.rs
+++ b/adapters/src/peer_link.rs
@@ -10,7 +10,7 @@
 //! what is not answered; those that send a change only once must act on that report.
 //!
 //! Frames are postcard with a length and a keyed hash. The first one of a connection shows who its
-//! sender is ([`link_handshake`]).
+//! sender is; the module `link_handshake` reads it.
 
 use std::{
     collections::VecDeque,
