http: a connection that has gone on since it was ranked does not give way

Up to 16 connections are ranked at once and closed one by one. Within the 250 ms for which the ranking holds, one of them could have had a request served and be idle again, and was closed although others had waited for longer. It must have the same rank now.

Found by reading. No test of its own: it needs a request within the time of one ranking.

--- a/adapters/src/listener_guard.rs
+++ b/adapters/src/listener_guard.rs
@@ -27,8 +27,8 @@
     shared: Arc<ListenerShared>,
     open: Vec<OpenConnection>,
     next_number: u64,
-    /// The next to give way, the first one last, as found at `candidates_at_ms`.
-    candidates: Vec<OpenConnection>,
+    /// The next to give way with their ranks, the first one last, as found at `candidates_at_ms`.
+    candidates: Vec<(GiveWayRank, OpenConnection)>,
     candidates_at_ms: u64,
     swept_at: Instant,
 }
@@ -111,12 +111,12 @@
         self.close_candidate()
     }
 
-    /// Closes the first of the candidates that still may give way.
+    /// Closes the first of the candidates that has not gone on since it was found.
     fn close_candidate(&mut self) -> bool {
-        while let Some(OpenConnection { state, task }) = self.candidates.pop() {
+        while let Some((rank, OpenConnection { state, task })) = self.candidates.pop() {
             let Some(state) = state.upgrade() else { continue };
             let view = state.view();
-            if connection_order::give_way_rank(&view).is_none() {
+            if connection_order::give_way_rank(&view) != Some(rank) {
                 continue;
             }
             match state.close(view.phase, MAX_CLOSING) {
@@ -143,7 +143,8 @@
             ranked.truncate(N_CANDIDATES);
         }
         ranked.sort_unstable();
-        self.candidates = ranked.iter().rev().map(|(_, idx)| self.open[*idx].clone()).collect();
+        let least_last = ranked.into_iter().rev();
+        self.candidates = least_last.map(|(rank, idx)| (rank, self.open[idx].clone())).collect();
     }
 
     /// Closes the connections that exceed a limit, and logs what was closed.
