metrics: limits of links and of endpoints' answers

An operator could not see that a link was closed before its peer was known, or that an answer of an endpoint was dropped for its size: the limits that came with this series counted nothing. They count now in yuccamux_http_peer_events, are named in the log line on limits, and the receive buffer is shown as yuccamux_http_receive_buffer_bytes.

--- a/adapters/src/connection_guard.rs
+++ b/adapters/src/connection_guard.rs
@@ -19,7 +19,7 @@
     registry::Registry,
 };
 
-use crate::{byte_budget::ByteBudget, process_setup};
+use crate::{byte_budget::ByteBudget, peer_limits::PeerEvent, process_setup};
 
 /// Largest read buffer of a connection, in bytes: a head of 16 KiB and what follows it.
 pub const MAX_BUFFER_BYTES: usize = 20 << 10;
@@ -173,9 +173,12 @@
     is_stopping: AtomicBool,
     counts: [AtomicU64; GuardEvent::ALL.len()],
     /// The counts at the last log line, and its time.
-    logged: Mutex<([u64; GuardEvent::ALL.len()], Option<Instant>)>,
+    logged: Mutex<(EventCounts, Option<Instant>)>,
 }
 
+/// The number of each event of the guard, then of links and endpoints.
+type EventCounts = [u64; GuardEvent::ALL.len() + PeerEvent::ALL.len()];
+
 impl ConnectionGuard {
     /// A guard with these limits.
     pub fn new(settings: GuardSettings) -> ConnectionGuard {
@@ -237,20 +240,29 @@
         self.0.counts[event as usize].load(Ordering::Relaxed)
     }
 
+    fn event_rows(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let guard_rows = GuardEvent::ALL.iter().map(|it| (it.name(), self.n_events(*it)));
+        guard_rows.chain(PeerEvent::ALL.iter().map(|it| (it.name(), it.count())))
+    }
+
     /// Logs the events since the last line, in at most one line a second.
     pub(crate) fn log_events(&self, now: Instant) {
         let mut logged = self.0.logged.lock().unwrap_or_else(PoisonError::into_inner);
         if logged.1.is_some_and(|it| now.saturating_duration_since(it) < LOG_INTERVAL) {
             return;
         }
-        let counts = GuardEvent::ALL.map(|it| self.n_events(it));
+        let mut counts = EventCounts::default();
+        for (count, (_, now)) in counts.iter_mut().zip(self.event_rows()) {
+            *count = now;
+        }
         if counts == logged.0 {
             return;
         }
-        let rows = GuardEvent::ALL.iter().zip(counts.iter().zip(&logged.0));
-        let changed = rows.filter(|(_, (new, old))| old < new);
-        let parts: Vec<String> =
-            changed.map(|(event, (new, old))| format!("{} {}", event.name(), new - old)).collect();
+        let rows = self.event_rows().zip(counts.iter().zip(&logged.0));
+        let parts: Vec<String> = rows
+            .filter(|(_, (now, old))| old < now)
+            .map(|((name, _), (now, old))| format!("{name} {}", now - old))
+            .collect();
         warn!(
             "limits on callers: {}; open connections: {}, reserved bytes: {}",
             parts.join(", "),
@@ -271,11 +283,23 @@
         let budget = self.budget().counts();
         let n_open = self.0.n_open.load(Ordering::Relaxed);
         registry.register("guard_events", "Connections and requests that met a limit", events);
+        let peer_events = Family::<EventLabels, Counter>::default();
+        for event in PeerEvent::ALL {
+            let labels = EventLabels { event: event.name() };
+            peer_events.get_or_create(&labels).inc_by(event.count());
+        }
+        let help = "Links and answers of endpoints that met a limit";
+        registry.register("peer_events", help, peer_events);
         let gauges = [
             ("connections", "Open connections", n_open),
             ("connections_limit", "Most open connections", self.0.settings.max_connections),
             ("budget_bytes", "Bytes reserved for callers", budget.used),
             ("budget_limit_bytes", "Bytes that are reserved at most", self.0.settings.budget_bytes),
+            (
+                "receive_buffer_bytes",
+                "Receive buffer that is requested for each connection",
+                self.0.settings.receive_buffer_bytes(),
+            ),
         ];
         for (name, help, value) in gauges {
             let gauge = Gauge::<i64>::default();
--- a/adapters/src/connection_pool.rs
+++ b/adapters/src/connection_pool.rs
@@ -28,7 +28,10 @@
     time,
 };
 
-use crate::byte_budget::{ByteBudget, ByteClass, Reservation, SMALL_REQUEST_BYTES};
+use crate::{
+    byte_budget::{ByteBudget, ByteClass, Reservation, SMALL_REQUEST_BYTES},
+    peer_limits::PeerEvent,
+};
 
 /// Time to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -179,6 +182,7 @@
             let Ok(data) = frame.into_data() else { continue };
             let n_bytes = bytes.len() + data.len();
             if self.limits.max_bytes < n_bytes.max(declared) {
+                PeerEvent::LargeAnswer.record();
                 return Err(format!("it is over {} bytes", self.limits.max_bytes));
             }
             if bytes.capacity() < n_bytes {
@@ -187,8 +191,11 @@
                 // A share is kept for short answers, which most are.
                 let is_short = capacity <= SMALL_REQUEST_BYTES;
                 let class = if is_short { ByteClass::Small } else { ByteClass::Large };
-                let reservation = self.budget.reserve(more, class);
-                reservations.push(reservation.ok_or("other answers hold too many bytes")?);
+                let Some(reservation) = self.budget.reserve(more, class) else {
+                    PeerEvent::AnswersShort.record();
+                    return Err("other answers hold too many bytes".to_owned());
+                };
+                reservations.push(reservation);
                 bytes.reserve_exact(capacity - bytes.len());
             }
             bytes.extend_from_slice(&data);
--- a/adapters/src/lib.rs
+++ b/adapters/src/lib.rs
@@ -33,6 +33,7 @@
 mod listener_guard;
 pub mod log_lines;
 pub mod log_store;
+pub mod peer_limits;
 pub mod peer_link;
 pub mod process_setup;
 pub mod request_body;
--- a/adapters/src/link_handshake.rs
+++ b/adapters/src/link_handshake.rs
@@ -22,7 +22,10 @@
 use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 use yuccamux::{peer_message::PeerMessage, prelude::VmName};
 
-use crate::peer_link::{self, PeerInput, PeerLink};
+use crate::{
+    peer_limits::PeerEvent,
+    peer_link::{self, PeerInput, PeerLink},
+};
 
 /// Largest first frame, in bytes.
 const MAX_FIRST_FRAME_BYTES: usize = 4 << 10;
@@ -92,6 +95,7 @@
         if MAX_HANDSHAKES <= oldest_first.len()
             && let Some(oldest) = oldest_first.pop_front()
         {
+            PeerEvent::HandshakeEvicted.record();
             oldest.abort();
         }
         oldest_first.push_back(handshakes.spawn(complete_handshake(stream, link.clone())));
@@ -103,10 +107,17 @@
     let (reader, writer) = stream.into_split();
     let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FIRST_FRAME_BYTES).new_codec();
     let mut frames = FramedRead::with_capacity(reader, codec, FIRST_BUFFER_BYTES);
-    let first = time::timeout(HANDSHAKE_TIMEOUT, frames.next()).await.ok()??.ok()?;
-    let (peer, first_message) = match link.open::<u32>(&first) {
-        Some((peer, HELLO_MARK)) => (peer, None),
-        _ => link.open(&first).map(|(peer, message)| (peer, Some(message)))?,
+    let Ok(first) = time::timeout(HANDSHAKE_TIMEOUT, frames.next()).await else {
+        PeerEvent::HandshakeTimeout.record();
+        return None;
+    };
+    let opened = first.and_then(Result::ok).and_then(|first| match link.open::<u32>(&first) {
+        Some((peer, HELLO_MARK)) => Some((peer, None)),
+        _ => link.open(&first).map(|(peer, message)| (peer, Some(message))),
+    });
+    let Some((peer, first_message)) = opened else {
+        PeerEvent::HandshakeRefused.record();
+        return None;
     };
     frames.decoder_mut().set_max_frame_length(peer_link::MAX_FRAME_BYTES);
     let stream: &TcpStream = writer.as_ref();
--- a/adapters/tests/test_peer_link.rs
+++ b/adapters/tests/test_peer_link.rs
@@ -23,6 +23,7 @@
 };
 use yuccamux_adapters::{
     link_key::LinkKeys,
+    peer_limits::PeerEvent,
     peer_link::{AddressBook, LinkSockets, PeerInput, PeerLink},
 };
 
@@ -227,6 +228,7 @@
     stranger.write_all(&[0x00, 0x7f, 0xff, 0xff]).await.unwrap();
     let closed = time::timeout(CLOSE_LIMIT, stranger.read(&mut [0; 1])).await;
     assert!(matches!(closed, Ok(Ok(0) | Err(_))), "{closed:?}");
+    assert!(0 < PeerEvent::HandshakeRefused.count());
 }
 
 /// Guards against VMs of builds without handshakes, which begin with a message, and are not heard
--- a/adapters/tests/test_reference.rs
+++ b/adapters/tests/test_reference.rs
@@ -42,15 +42,22 @@
     let mut names: Vec<&str> = text
         .lines()
         .filter(|it| {
-            let families =
-                ["yuccamux_dispatch{", "yuccamux_control{", "yuccamux_http_guard_events_"];
+            let families = [
+                "yuccamux_dispatch{",
+                "yuccamux_control{",
+                "yuccamux_http_guard_events_",
+                "yuccamux_http_peer_events_",
+            ];
             families.iter().any(|family| it.starts_with(family))
         })
         .filter_map(|it| it.split_once("} ").map(|it| it.0))
         .collect();
     // A metric family yields its members in no particular order.
     names.sort_unstable();
-    table.push_str("\nNames under `yuccamux_dispatch`, `yuccamux_control` and `yuccamux_http_guard_events`:\n\n");
+    table.push_str(
+        "\nNames under `yuccamux_dispatch`, `yuccamux_control`, `yuccamux_http_guard_events` and \
+         `yuccamux_http_peer_events`:\n\n",
+    );
     for name in names {
         table.push_str(&format!("- `{name}}}`\n"));
     }
