--- a/adapters/src/connection_guard.rs
+++ b/adapters/src/connection_guard.rs
@@ -66,7 +66,7 @@
     /// Receive buffer to request for each connection, in bytes, so that all of them together, also
     /// those that wait to be accepted, hold a bounded number of unread bytes.
     pub fn receive_buffer_bytes(&self) -> usize {
-        let n_connections = self.max_connections + MAX_LISTENERS * process_setup::N_WAITING;
+        let n_connections = self.max_connections + MAX_LISTENERS * process_setup::ACCEPT_BACKLOG;
         let share = self.budget_bytes / 4 * UNREAD_QUARTERS / n_connections;
         // Linux doubles the size for its own overhead, and fills up to all of it with payload.
         (share / 2).clamp(*RECEIVE_BUFFER_BYTES.start(), *RECEIVE_BUFFER_BYTES.end())
@@ -112,8 +112,8 @@
 pub enum GuardEvent {
     /// A new connection was refused, as all open ones have requests that are being served.
     ConnectionRefused,
-    /// A connection without a whole request was closed to make room for a new one.
-    GaveWay,
+    /// A connection without a whole request was evicted for a new one.
+    Evicted,
     /// A connection was closed, as the head of a request took too long.
     SlowHead,
     /// A connection was closed, as it was idle for too long.
@@ -132,7 +132,7 @@
     /// Every event, in the order of their numbers.
     const ALL: [GuardEvent; 8] = [
         GuardEvent::ConnectionRefused,
-        GuardEvent::GaveWay,
+        GuardEvent::Evicted,
         GuardEvent::SlowHead,
         GuardEvent::IdleClosed,
         GuardEvent::UnreadAnswer,
@@ -145,7 +145,7 @@
     pub fn name(self) -> &'static str {
         match self {
             GuardEvent::ConnectionRefused => "connection_refused",
-            GuardEvent::GaveWay => "gave_way",
+            GuardEvent::Evicted => "evicted",
             GuardEvent::SlowHead => "slow_head",
             GuardEvent::IdleClosed => "idle_closed",
             GuardEvent::UnreadAnswer => "unread_answer",
@@ -218,15 +218,15 @@
     }
 
     /// Whether the process may have another connection.
-    pub(crate) fn has_place(&self) -> bool {
+    pub(crate) fn has_capacity(&self) -> bool {
         self.0.n_open.load(Ordering::Relaxed) < self.0.settings.max_connections
     }
 
-    pub(crate) fn open_place(&self) {
+    pub(crate) fn add_connection(&self) {
         self.0.n_open.fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(crate) fn close_place(&self) {
+    pub(crate) fn remove_connection(&self) {
         self.0.n_open.fetch_sub(1, Ordering::Relaxed);
     }
 
--- a/adapters/src/connection_refusal.rs
+++ b/adapters/src/connection_refusal.rs
@@ -1,4 +1,4 @@
-//! Answers to connections for which a listener has no place.
+//! Answers to connections for which a listener has no room.
 
 use std::{sync::Arc, time::Duration};
 
@@ -23,20 +23,20 @@
 
 /// Refuses the connections of a listener.
 #[derive(Debug)]
-pub(crate) struct RefusalDesk {
+pub(crate) struct RefusalSender {
     answer: Arc<str>,
-    places: Arc<Semaphore>,
+    permits: Arc<Semaphore>,
 }
 
-impl RefusalDesk {
-    pub(crate) fn new() -> RefusalDesk {
-        let places = Arc::new(Semaphore::new(MAX_REFUSALS));
-        RefusalDesk { answer: refusal_text().into(), places }
+impl RefusalSender {
+    pub(crate) fn new() -> RefusalSender {
+        let permits = Arc::new(Semaphore::new(MAX_REFUSALS));
+        RefusalSender { answer: refusal_text().into(), permits }
     }
 
     /// Answers that nothing has run and when to come again, whatever the request is.
     pub(crate) fn refuse(&self, mut stream: TcpStream) {
-        let Ok(place) = Arc::clone(&self.places).try_acquire_owned() else { return };
+        let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { return };
         let answer = Arc::clone(&self.answer);
         tokio::spawn(async move {
             let answered = async {
@@ -47,7 +47,7 @@
             };
             // The client is gone, or does not read.
             let _ = time::timeout(REFUSAL_TIMEOUT, answered).await;
-            drop(place);
+            drop(permit);
         });
     }
 }
--- a/adapters/src/connection_order.rs
+++ b/adapters/src/eviction_order.rs
@@ -1,14 +1,14 @@
-//! The order in which connections give way when a listener has no place for a new one.
+//! The order in which connections are evicted when a listener has no room for a new one.
 //!
-//! Only connections without a whole request give way. Those that have waited for
-//! [`PROTECTED_MS`] or longer go first: idle ones, then heads, each from the oldest, then bodies
-//! from the slowest, then answers that their clients do not read. Where all are younger, the one
+//! Only connections without a whole request are evicted. Those that have waited for
+//! [`EVICTION_GRACE_MS`] or longer go first: idle ones, then heads, each from the oldest, then bodies
+//! from the slowest, then answers that their clients do not read. Where all have waited for less, the one
 //! that was accepted first goes, so that a new connection has as much time for its request as
 //! possible.
 
-/// Time for which a connection gives way only where no other has waited longer, in ms: a client
+/// Time for which a connection is evicted only where no other has waited longer, in ms: a client
 /// sends its request within a few round trips.
-pub const PROTECTED_MS: u64 = 1_000;
+pub const EVICTION_GRACE_MS: u64 = 1_000;
 
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,9 +40,9 @@
     pub number: u64,
 }
 
-/// Place of a connection in the order; the least gives way first.
+/// Rank of a connection in the order; the least is evicted first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum GiveWayRank {
+pub enum EvictionRank {
     /// Idle, for so many ms less than the longest possible time; then by number.
     Idle(u64, u64),
     /// In a head, in the same way.
@@ -52,23 +52,23 @@
     /// With an unread answer, for so many ms less than the longest possible time; then by number.
     Unread(u64, u64),
     /// Idle, in a head or in a body for a short time; by number.
-    Young(u64),
+    Recent(u64),
 }
 
-/// The rank of a connection, if it may give way.
-pub fn give_way_rank(view: &ConnectionView) -> Option<GiveWayRank> {
-    let is_young = view.waited_ms < PROTECTED_MS;
+/// The rank of a connection, if it may be evicted.
+pub fn eviction_rank(view: &ConnectionView) -> Option<EvictionRank> {
+    let is_recent = view.waited_ms < EVICTION_GRACE_MS;
     let age_order = u64::MAX - view.waited_ms;
     match view.phase {
         ConnectionPhase::Serving | ConnectionPhase::Closing => None,
-        _ if 0 < view.unread_ms => (PROTECTED_MS <= view.unread_ms)
-            .then(|| GiveWayRank::Unread(u64::MAX - view.unread_ms, view.number)),
-        _ if is_young => Some(GiveWayRank::Young(view.number)),
-        ConnectionPhase::Idle => Some(GiveWayRank::Idle(age_order, view.number)),
-        ConnectionPhase::Head => Some(GiveWayRank::Head(age_order, view.number)),
+        _ if 0 < view.unread_ms => (EVICTION_GRACE_MS <= view.unread_ms)
+            .then(|| EvictionRank::Unread(u64::MAX - view.unread_ms, view.number)),
+        _ if is_recent => Some(EvictionRank::Recent(view.number)),
+        ConnectionPhase::Idle => Some(EvictionRank::Idle(age_order, view.number)),
+        ConnectionPhase::Head => Some(EvictionRank::Head(age_order, view.number)),
         ConnectionPhase::Body => {
             let rate = view.n_body_bytes.saturating_mul(1_000) / view.waited_ms;
-            Some(GiveWayRank::Body(rate, view.number))
+            Some(EvictionRank::Body(rate, view.number))
         }
     }
 }
--- a/adapters/src/guarded_connection.rs
+++ b/adapters/src/guarded_connection.rs
@@ -20,11 +20,11 @@
 use crate::{
     byte_budget::Reservation,
     connection_guard::{ConnectionGuard, GuardEvent},
-    connection_order::{ConnectionPhase, ConnectionView},
+    eviction_order::{ConnectionPhase, ConnectionView},
     http_server::ServerLimits,
 };
 
-/// Time that a connection has for its last answer once it gave way.
+/// Time that a connection has for its last answer once it is evicted.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What the connections of a listener share.
@@ -35,7 +35,7 @@
     /// request.
     pub(crate) now_ms: AtomicU64,
     pub(crate) n_open: AtomicUsize,
-    /// Connections that gave way and still write an answer.
+    /// Evicted connections that still write an answer.
     pub(crate) n_closing: AtomicUsize,
 }
 
@@ -64,11 +64,11 @@
     n_body_bytes: AtomicU64,
     /// Time on the listener's clock since which the client has not read; 0 if it has.
     unread_since_ms: AtomicU64,
-    /// Whether the connection counts no more, as it gave way.
+    /// Whether the connection counts no more, as it was evicted.
     is_released: AtomicBool,
-    /// Whether the connection gave way and may still write an answer.
+    /// Whether the connection was evicted and may still write an answer.
     is_answering: AtomicBool,
-    gave_way: Notify,
+    evicted: Notify,
     _charge: Reservation,
 }
 
@@ -80,7 +80,7 @@
         charge: Reservation,
     ) -> ConnectionState {
         listener.n_open.fetch_add(1, Ordering::Relaxed);
-        guard.open_place();
+        guard.add_connection();
         ConnectionState {
             guard: guard.clone(),
             listener: Arc::clone(listener),
@@ -91,7 +91,7 @@
             unread_since_ms: AtomicU64::new(0),
             is_released: AtomicBool::new(false),
             is_answering: AtomicBool::new(false),
-            gave_way: Notify::new(),
+            evicted: Notify::new(),
             _charge: charge,
         }
     }
@@ -128,9 +128,9 @@
         self.enter(ConnectionPhase::Serving);
     }
 
-    /// Waits until the connection has given way.
-    pub(crate) async fn wait_to_give_way(&self) {
-        self.gave_way.notified().await;
+    /// Waits until the connection is evicted.
+    pub(crate) async fn wait_for_eviction(&self) {
+        self.evicted.notified().await;
     }
 
     /// Enters a phase, unless the connection is closing.
@@ -173,14 +173,14 @@
         }
         self.listener.n_closing.fetch_add(1, Ordering::Relaxed);
         self.is_answering.store(true, Ordering::Relaxed);
-        self.gave_way.notify_one();
+        self.evicted.notify_one();
         Some(CloseStep::Answers)
     }
 
     fn release(&self) {
         if !self.is_released.swap(true, Ordering::Relaxed) {
             self.listener.n_open.fetch_sub(1, Ordering::Relaxed);
-            self.guard.close_place();
+            self.guard.remove_connection();
         }
     }
 
--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -29,7 +29,7 @@
 use crate::{
     api_types::{ErrorAnswer, ErrorBody},
     connection_guard::{ConnectionGuard, MAX_BUFFER_BYTES},
-    connection_refusal::RefusalDesk,
+    connection_refusal::RefusalSender,
     guarded_connection::GuardedStream,
     listener_guard::ListenerGuard,
     process_setup,
@@ -117,19 +117,19 @@
 {
     let graceful = GracefulShutdown::new();
     let mut connections = ListenerGuard::new(guard, limits);
-    let refusals = RefusalDesk::new();
+    let refusals = RefusalSender::new();
     let mut sweeps = time::interval(connections.sweep_interval());
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     // After the stop, the most that may still wait to be accepted.
-    let mut n_waiting: Option<usize> = None;
+    let mut n_backlog: Option<usize> = None;
     loop {
-        let accepted = if let Some(n_left) = n_waiting {
+        let accepted = if let Some(n_left) = n_backlog {
             // Clients that were connected before the stop are served: closing the listener would
             // reset them, whether or not they have sent a request.
-            n_waiting = n_left.checked_sub(1);
+            n_backlog = n_left.checked_sub(1);
             tokio::task::yield_now().await;
             match listener.accept().now_or_never() {
-                Some(accepted) if n_waiting.is_some() => accepted,
+                Some(accepted) if n_backlog.is_some() => accepted,
                 _ => break,
             }
         } else {
@@ -140,7 +140,7 @@
                     continue;
                 }
                 () = wait_for_stop(&mut stop) => {
-                    n_waiting = Some(process_setup::N_WAITING);
+                    n_backlog = Some(process_setup::ACCEPT_BACKLOG);
                     continue;
                 }
             }
@@ -186,8 +186,8 @@
         // When a connection fails there is no peer left to report to.
         let task = tokio::spawn(graceful.watch(connection));
         connections.watch(watched, task.abort_handle());
-        if admitted.made_room {
-            // The connection that gave way releases what it holds, and the new one reads its
+        if admitted.has_evicted {
+            // The evicted connection releases what it holds, and the new one reads its
             // request, before more are accepted.
             tokio::task::yield_now().await;
         }
--- a/adapters/src/listener_guard.rs
+++ b/adapters/src/listener_guard.rs
@@ -1,4 +1,4 @@
-//! The connections of one listener: which are admitted, which give way, and which take too long.
+//! The connections of one listener: which are admitted, which are evicted, and which take too long.
 
 use std::{
     sync::{Arc, Weak, atomic::Ordering},
@@ -9,14 +9,14 @@
 
 use crate::{
     connection_guard::{CONNECTION_BYTES, ConnectionGuard, GuardEvent},
-    connection_order::{self, ConnectionPhase, GiveWayRank},
+    eviction_order::{self, ConnectionPhase, EvictionRank},
     guarded_connection::{CloseStep, ConnectionState, ListenerShared},
     http_server::ServerLimits,
 };
 
-/// Connections that are found at once to give way one after the other.
+/// Connections that are selected at once to be evicted one after the other.
 const N_CANDIDATES: usize = 16;
-/// Most connections that gave way and still write an answer; further ones end without.
+/// Most evicted connections that still write an answer; further ones end without.
 const MAX_CLOSING: usize = 8;
 
 /// The connections of one listener.
@@ -27,8 +27,8 @@
     shared: Arc<ListenerShared>,
     open: Vec<OpenConnection>,
     next_number: u64,
-    /// The next to give way with their ranks, the first one last, as found at `candidates_at_ms`.
-    candidates: Vec<(GiveWayRank, OpenConnection)>,
+    /// The next to be evicted with their ranks, the first one last, as selected at `candidates_at_ms`.
+    candidates: Vec<(EvictionRank, OpenConnection)>,
     candidates_at_ms: u64,
     swept_at: Instant,
 }
@@ -44,8 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct AdmittedConnection {
     pub(crate) state: Arc<ConnectionState>,
-    /// Whether another one gave way, whose task has to run to release what it holds.
-    pub(crate) made_room: bool,
+    /// Whether another one was evicted, whose task has to run to release what it holds.
+    pub(crate) has_evicted: bool,
 }
 
 impl ListenerGuard {
@@ -69,18 +69,18 @@
         (shortest / 4).clamp(Duration::from_millis(10), Duration::from_millis(250))
     }
 
-    /// Admits a new connection; where there is no room, another gives way. None if all open ones
+    /// Admits a new connection; where there is no room, another one is evicted. None if all open ones
     /// have requests that are being served.
     pub(crate) fn admit(&mut self, now: Instant) -> Option<AdmittedConnection> {
         let n_open = self.shared.n_open.load(Ordering::Relaxed);
-        let has_place = n_open < self.limits.max_connections && self.guard.has_place();
+        let has_capacity = n_open < self.limits.max_connections && self.guard.has_capacity();
         let budget = self.guard.budget();
         let reserved =
-            has_place.then(|| budget.reserve_connection(CONNECTION_BYTES, now)).flatten();
-        let made_room = reserved.is_none();
+            has_capacity.then(|| budget.reserve_connection(CONNECTION_BYTES, now)).flatten();
+        let has_evicted = reserved.is_none();
         let charge = match reserved {
             Some(charge) => charge,
-            None if self.close_next() => self.guard.budget().count_held(CONNECTION_BYTES),
+            None if self.evict_next() => self.guard.budget().count_held(CONNECTION_BYTES),
             None => {
                 self.guard.record(GuardEvent::ConnectionRefused);
                 return None;
@@ -89,7 +89,7 @@
         let number = self.next_number;
         self.next_number += 1;
         let state = ConnectionState::new(&self.guard, &self.shared, number, charge);
-        Some(AdmittedConnection { state: Arc::new(state), made_room })
+        Some(AdmittedConnection { state: Arc::new(state), has_evicted })
     }
 
     /// Watches a connection that is served by a task.
@@ -97,26 +97,26 @@
         self.open.push(OpenConnection { state, task });
     }
 
-    /// Closes the connection that is the next to give way; false if there is none.
-    fn close_next(&mut self) -> bool {
+    /// Evicts the next connection in the order; false if there is none.
+    fn evict_next(&mut self) -> bool {
         let now_ms = self.shared.now_ms.load(Ordering::Relaxed);
         if self.candidates_at_ms != now_ms {
             self.candidates.clear();
         }
-        if self.close_candidate() {
+        if self.evict_candidate() {
             return true;
         }
-        self.find_candidates();
+        self.select_candidates();
         self.candidates_at_ms = now_ms;
-        self.close_candidate()
+        self.evict_candidate()
     }
 
-    /// Closes the first of the candidates that has not gone on since it was found.
-    fn close_candidate(&mut self) -> bool {
+    /// Evicts the first of the candidates that has not changed its rank.
+    fn evict_candidate(&mut self) -> bool {
         while let Some((rank, OpenConnection { state, task })) = self.candidates.pop() {
             let Some(state) = state.upgrade() else { continue };
             let view = state.view();
-            if connection_order::give_way_rank(&view) != Some(rank) {
+            if eviction_order::eviction_rank(&view) != Some(rank) {
                 continue;
             }
             match state.close(view.phase, MAX_CLOSING) {
@@ -124,18 +124,18 @@
                 Some(CloseStep::EndTask) => task.abort(),
                 Some(CloseStep::Answers) => {}
             }
-            self.guard.record(GuardEvent::GaveWay);
+            self.guard.record(GuardEvent::Evicted);
             return true;
         }
         false
     }
 
-    fn find_candidates(&mut self) {
+    fn select_candidates(&mut self) {
         self.open.retain(|it| 0 < it.state.strong_count());
-        let mut ranked: Vec<(GiveWayRank, usize)> = Vec::with_capacity(self.open.len());
+        let mut ranked: Vec<(EvictionRank, usize)> = Vec::with_capacity(self.open.len());
         for (idx, connection) in self.open.iter().enumerate() {
             let view = connection.state.upgrade().map(|it| it.view());
-            let rank = view.as_ref().and_then(connection_order::give_way_rank);
+            let rank = view.as_ref().and_then(eviction_order::eviction_rank);
             ranked.extend(rank.map(|it| (it, idx)));
         }
         if N_CANDIDATES < ranked.len() {
--- a/adapters/src/process_setup.rs
+++ b/adapters/src/process_setup.rs
@@ -18,7 +18,7 @@
 };
 
 /// Connections of a listener that wait to be accepted at most.
-pub const N_WAITING: usize = 128;
+pub const ACCEPT_BACKLOG: usize = 128;
 
 /// Reads `--vms` and checks that it names this VM with its role.
 ///
@@ -117,7 +117,7 @@
         socket.set_reuseaddr(true)?;
         socket.set_recv_buffer_size(settings.receive_buffer_bytes() as u32)?;
         socket.bind(address)?;
-        socket.listen(N_WAITING as u32)
+        socket.listen(ACCEPT_BACKLOG as u32)
     };
     listen().with_context(|| format!("--listen: could not listen on {address}; is it in use?"))
 }
--- a/adapters/src/request_body.rs
+++ b/adapters/src/request_body.rs
@@ -105,7 +105,7 @@
     declared: Option<usize>,
     started_at: Instant,
     n_read: usize,
-    /// Whether another request needed the bytes or the connection's place more.
+    /// Whether another request needed the bytes or the connection more.
     is_aborted: bool,
     buffer: Vec<u8>,
     reservation: BodyReservation,
@@ -189,7 +189,7 @@
         while self.n_read < self.max_bytes {
             let frame = tokio::select! {
                 frame = time::timeout_at(until.into(), self.incoming.frame()) => frame,
-                () = self.state.wait_to_give_way() => return,
+                () = self.state.wait_for_eviction() => return,
             };
             let Ok(Some(Ok(frame))) = frame else { return };
             let n_bytes = frame.data_ref().map_or(0, Bytes::len);
@@ -260,11 +260,11 @@
     }
 }
 
-/// Waits until another request needs the bytes of a body, or the place of its connection, more.
+/// Waits until another request needs the bytes of a body, or its connection, more.
 async fn wait_for_abort(reservation: &BodyReservation, state: &ConnectionState) {
     tokio::select! {
         () = reservation.wait_for_abort() => {}
-        () = state.wait_to_give_way() => {}
+        () = state.wait_for_eviction() => {}
     }
 }
 
--- a/adapters/tests/test_byte_budget.rs
+++ b/adapters/tests/test_byte_budget.rs
@@ -82,7 +82,7 @@
 
 /// Guards against large bodies because of which a new connection is refused.
 #[tokio::test]
-async fn large_body_gives_way_to_a_connection() {
+async fn large_body_is_aborted_for_a_connection() {
     let budget = ByteBudget::new(TOTAL);
     let now = Instant::now();
     let large = open_large(&budget, 750, now);
--- a/adapters/tests/test_connection_order.rs
+++ b/adapters/tests/test_eviction_order.rs
@@ -1,32 +1,33 @@
-//! Which connection gives way to a new one: load by clients that hold places without a request.
+//! Which connection is evicted for a new one: load by clients that hold connections without a
+//! request.
 
-use yuccamux_adapters::connection_order::{
-    ConnectionPhase, ConnectionView, PROTECTED_MS, give_way_rank,
+use yuccamux_adapters::eviction_order::{
+    ConnectionPhase, ConnectionView, EVICTION_GRACE_MS, eviction_rank,
 };
 
 fn view(phase: ConnectionPhase, waited_ms: u64, number: u64) -> ConnectionView {
     ConnectionView { phase, waited_ms, unread_ms: 0, n_body_bytes: 0, number }
 }
 
-/// Checks that connections give way in the order in which they are listed; their numbers are in
+/// Checks that connections are evicted in the order in which they are listed; their numbers are in
 /// the opposite order.
 fn check_order(views: &[ConnectionView]) {
-    let ranks: Vec<_> = views.iter().map(|it| give_way_rank(it).expect("a rank")).collect();
+    let ranks: Vec<_> = views.iter().map(|it| eviction_rank(it).expect("a rank")).collect();
     assert!(ranks.is_sorted_by(|lhs, rhs| lhs < rhs), "{ranks:?}");
 }
 
 /// Guards against idle connections that outlast those from which a request is on its way, and
-/// against places that go to whoever came first.
+/// against connections that stay because they came first.
 #[test]
-fn longest_idle_go_first_and_newcomers_last() {
+fn longest_idle_go_first_and_recent_last() {
     check_order(&[
         view(ConnectionPhase::Idle, 20_000, 9),
-        view(ConnectionPhase::Idle, PROTECTED_MS, 8),
+        view(ConnectionPhase::Idle, EVICTION_GRACE_MS, 8),
         view(ConnectionPhase::Head, 4_000, 7),
-        view(ConnectionPhase::Head, PROTECTED_MS, 6),
-        view(ConnectionPhase::Body, PROTECTED_MS, 5),
-        ConnectionView { unread_ms: PROTECTED_MS, ..view(ConnectionPhase::Idle, 9_000, 4) },
-        view(ConnectionPhase::Body, PROTECTED_MS - 1, 1),
+        view(ConnectionPhase::Head, EVICTION_GRACE_MS, 6),
+        view(ConnectionPhase::Body, EVICTION_GRACE_MS, 5),
+        ConnectionView { unread_ms: EVICTION_GRACE_MS, ..view(ConnectionPhase::Idle, 9_000, 4) },
+        view(ConnectionPhase::Body, EVICTION_GRACE_MS - 1, 1),
         view(ConnectionPhase::Head, 0, 2),
         view(ConnectionPhase::Idle, 0, 3),
     ]);
@@ -46,8 +47,8 @@
 /// are being read.
 #[test]
 fn served_requests_and_answers_stay() {
-    assert_eq!(give_way_rank(&view(ConnectionPhase::Serving, 60_000, 0)), None);
-    assert_eq!(give_way_rank(&view(ConnectionPhase::Closing, 60_000, 0)), None);
+    assert_eq!(eviction_rank(&view(ConnectionPhase::Serving, 60_000, 0)), None);
+    assert_eq!(eviction_rank(&view(ConnectionPhase::Closing, 60_000, 0)), None);
     let read = ConnectionView { unread_ms: 1, ..view(ConnectionPhase::Idle, 60_000, 0) };
-    assert_eq!(give_way_rank(&read), None);
+    assert_eq!(eviction_rank(&read), None);
 }
--- a/adapters/tests/test_http_guard.rs
+++ b/adapters/tests/test_http_guard.rs
@@ -182,15 +182,15 @@
 }
 
 /// Settings with room for four connections.
-fn four_places() -> GuardSettings {
+fn four_connections() -> GuardSettings {
     GuardSettings { budget_bytes: 1 << 20, max_connections: 4 }
 }
 
-/// Guards against places that clients without a whole request keep, and against a body that is
-/// closed without an answer to make room.
+/// Guards against clients without a whole request that keep others out, and against a body that is
+/// evicted without an answer.
 #[tokio::test]
-async fn connections_without_a_request_give_way() {
-    let server = serve(four_places(), ServerLimits::default(), Duration::ZERO).await;
+async fn connections_without_a_request_are_evicted() {
+    let server = serve(four_connections(), ServerLimits::default(), Duration::ZERO).await;
     let mut short = post(b"body");
     short.pop();
     let mut half_bodies = Vec::new();
@@ -208,14 +208,14 @@
     let refusal = String::from_utf8_lossy(&refusal);
     assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
     assert!(refusal.contains("retry-after: 1") && refusal.contains("not_run"), "{refusal}");
-    assert_eq!(server.guard.n_events(GuardEvent::GaveWay), 1);
+    assert_eq!(server.guard.n_events(GuardEvent::Evicted), 1);
 }
 
-/// Guards against a request that is cut off while it is served, and against a newcomer that is
+/// Guards against a request that is cut off while it is served, and against a new connection that is
 /// reset without an answer.
 #[tokio::test]
-async fn served_requests_keep_their_places() {
-    let server = serve(four_places(), ServerLimits::default(), Duration::from_secs(2)).await;
+async fn served_requests_are_not_evicted() {
+    let server = serve(four_connections(), ServerLimits::default(), Duration::from_secs(2)).await;
     let mut callers = Vec::new();
     for _ in 0..4 {
         let mut stream = TcpStream::connect(server.address).await.unwrap();
@@ -224,9 +224,9 @@
     }
     // Time until they are served.
     time::sleep(Duration::from_millis(100)).await;
-    let mut newcomer = TcpStream::connect(server.address).await.unwrap();
-    newcomer.write_all(&post(b"body")).await.unwrap();
-    let refusal = read_answer(&mut newcomer, b"no end but that of the connection").await;
+    let mut late = TcpStream::connect(server.address).await.unwrap();
+    late.write_all(&post(b"body")).await.unwrap();
+    let refusal = read_answer(&mut late, b"no end but that of the connection").await;
     let refusal = String::from_utf8_lossy(&refusal);
     assert!(refusal.starts_with("HTTP/1.1 503"), "{refusal}");
     assert!(refusal.contains("retry-after: 1") && refusal.contains("not_run"), "{refusal}");
@@ -234,7 +234,7 @@
         assert!(read_answer(caller, b"body").await.starts_with(b"HTTP/1.1 200"));
     }
     assert_eq!(server.guard.n_events(GuardEvent::ConnectionRefused), 1);
-    assert_eq!(server.guard.n_events(GuardEvent::GaveWay), 0);
+    assert_eq!(server.guard.n_events(GuardEvent::Evicted), 0);
 }
 
 /// Guards against connections that stay in use until a process closes them, whichever request is
@@ -251,9 +251,9 @@
     let answer = String::from_utf8_lossy(&answer);
     assert!(answer.starts_with("HTTP/1.1 200") && answer.contains("connection: close"), "{answer}");
     // New connections are still served.
-    let mut newcomer = TcpStream::connect(server.address).await.unwrap();
-    newcomer.write_all(&post(b"body")).await.unwrap();
-    assert!(read_answer(&mut newcomer, b"body").await.starts_with(b"HTTP/1.1 200"));
+    let mut late = TcpStream::connect(server.address).await.unwrap();
+    late.write_all(&post(b"body")).await.unwrap();
+    assert!(read_answer(&mut late, b"body").await.starts_with(b"HTTP/1.1 200"));
 }
 
 /// Guards against clients that were connected, and are reset as they wait to be accepted when the
--- a/adapters/tests/test_peer_link.rs
+++ b/adapters/tests/test_peer_link.rs
@@ -224,9 +224,9 @@
 async fn large_first_frame_closes_the_connection() {
     let (sockets, address) = bind();
     let _end = start("own", sockets, &[]);
-    let mut stranger = TcpStream::connect(address).await.unwrap();
-    stranger.write_all(&[0x00, 0x7f, 0xff, 0xff]).await.unwrap();
-    let closed = time::timeout(CLOSE_LIMIT, stranger.read(&mut [0; 1])).await;
+    let mut unknown = TcpStream::connect(address).await.unwrap();
+    unknown.write_all(&[0x00, 0x7f, 0xff, 0xff]).await.unwrap();
+    let closed = time::timeout(CLOSE_LIMIT, unknown.read(&mut [0; 1])).await;
     assert!(matches!(closed, Ok(Ok(0) | Err(_))), "{closed:?}");
     assert!(0 < PeerEvent::HandshakeRefused.count());
 }
--- a/adapters/tests/test_receive_buffer.rs
+++ b/adapters/tests/test_receive_buffer.rs
@@ -39,6 +39,6 @@
     let n_unread = stream.peek(&mut unread).await.unwrap();
     println!("{n_unread} bytes unread");
     assert!(n_unread <= 2 * settings.receive_buffer_bytes(), "{n_unread} bytes");
-    let all_unread = n_unread * (settings.max_connections + process_setup::N_WAITING);
+    let all_unread = n_unread * (settings.max_connections + process_setup::ACCEPT_BACKLOG);
     assert!(all_unread <= BUDGET_BYTES / 4 * 3, "{all_unread} bytes");
 }
