--- a/adapters/src/eviction_order.rs
+++ b/adapters/src/eviction_order.rs
@@ -1,10 +1,10 @@
 //! The order in which connections are evicted when a listener has no room for a new one.
 //!
 //! Only connections without a whole request are evicted. Those that have waited for
-//! [`EVICTION_GRACE_MS`] or longer go first: idle ones, then heads, each from the oldest, then bodies
-//! from the slowest, then answers that their clients do not read. Where all have waited for less, the one
-//! that was accepted first goes, so that a new connection has as much time for its request as
-//! possible.
+//! [`EVICTION_GRACE_MS`] or longer go first: idle ones, then heads, each from the oldest, then
+//! bodies from the slowest, then answers that their clients do not read. Where all have waited for
+//! less, the one that was accepted first goes, so that a new connection has as much time for its
+//! request as possible.
 
 /// Time for which a connection is evicted only where no other has waited longer, in ms: a client
 /// sends its request within a few round trips.
--- a/adapters/src/listener_guard.rs
+++ b/adapters/src/listener_guard.rs
@@ -27,7 +27,8 @@
     shared: Arc<ListenerShared>,
     open: Vec<OpenConnection>,
     next_number: u64,
-    /// The next to be evicted with their ranks, the first one last, as selected at `candidates_at_ms`.
+    /// The next to be evicted with their ranks, the first one last, as selected at
+    /// `candidates_at_ms`.
     candidates: Vec<(EvictionRank, OpenConnection)>,
     candidates_at_ms: u64,
     swept_at: Instant,
@@ -69,8 +70,8 @@
         (shortest / 4).clamp(Duration::from_millis(10), Duration::from_millis(250))
     }
 
-    /// Admits a new connection; where there is no room, another one is evicted. None if all open ones
-    /// have requests that are being served.
+    /// Admits a new connection; where there is no room, another one is evicted. None if all open
+    /// ones have requests that are being served.
     pub(crate) fn admit(&mut self, now: Instant) -> Option<AdmittedConnection> {
         let n_open = self.shared.n_open.load(Ordering::Relaxed);
         let has_capacity = n_open < self.limits.max_connections && self.guard.has_capacity();
