control: a planned replacement bears the loss of the new member on slow disks

Cause: the replacement added the spare, which made a group of four, and removed the stopping member by a second change. A member waits for its removal for half of grace_s and then ends. On a disk whose syncs are slow the removal is not committed by then; with the spare lost as well, two of four VMs are left, which are no majority and can't commit anything, not even the removal.

Change: the replacement is a swap that the log records. From when it is appended until its end is committed, a quorum is a majority of the former group and a majority of the new one (joint consensus). The members that stay are both, so they lead and commit whatever becomes of the other two. Only the group before the swap or the one after it may follow, as their majorities are part of the swap's. States of former versions are read.

--- a/lib/src/cell/control_group.rs
+++ b/lib/src/cell/control_group.rs
@@ -3,9 +3,15 @@
 //! The leader changes the group by one VM at a time: it adds a live VM while the group is
 //! smaller than wanted, and removes a member that is unreachable or shutting down when
 //! another VM can replace it. A VM that was added but does not vote is removed again when it is
-//! lost, or when a spare is there and it has had its time.
+//! lost, or when a spare is there and it has had its time. A spare takes the place of a member that
+//! is told to stop in a swap, which adds the one and then removes the other.
 
-use crate::{cell::cell_message::CellHeartbeat, prelude::*, vm_layout::VmRole};
+use crate::{
+    cell::cell_message::CellHeartbeat,
+    group_members::{GroupMembers, MemberSwap},
+    prelude::*,
+    vm_layout::VmRole,
+};
 
 /// Time without a heartbeat after which a member may be replaced: longer than a restart takes.
 const REPLACE_AFTER_MS: u64 = 2_500;
@@ -93,7 +99,7 @@
     own: &VmName,
     n_wanted: usize,
     candidates: &[GroupCandidate],
-) -> Option<Vec<VmName>> {
+) -> Option<GroupMembers> {
     let find = |vm: &VmName| candidates.iter().find(|it| it.vm == *vm);
     let mut standby: Vec<&GroupCandidate> =
         candidates.iter().filter(|it| is_spare(it, vms)).collect();
@@ -103,12 +109,15 @@
     };
     standby.sort_by_key(|it| (!it.has_log, it.was_withdrawn, n_in(&it.centre), it.vm.clone()));
     let is_stopping = |vm: &VmName| find(vm).is_some_and(|it| it.stopping);
-    let is_replaced = vms.len() == n_wanted && vms.iter().any(is_stopping);
-    if is_replaced && let Some(spare) = standby.first().filter(|it| it.has_log) {
+    let leaving = vms.iter().find(|it| is_stopping(it)).filter(|_| vms.len() == n_wanted);
+    if let Some(leaving) = leaving
+        && let Some(spare) = standby.first().filter(|it| it.has_log)
+    {
         // The spare votes before the member ends, so the group always bears a loss.
         let mut changed = vms.to_vec();
         changed.push(spare.vm.clone());
-        return Some(changed);
+        let swap = MemberSwap { leaving: leaving.clone(), joining: spare.vm.clone() };
+        return Some(GroupMembers { vms: changed, swap: Some(swap) });
     }
     if vms.len() < n_wanted {
         // The larger group's majority must be live without the newcomer, which has no log yet.
@@ -116,7 +125,7 @@
         let newcomer = standby.first().filter(|_| needed <= n_live)?;
         let mut changed = vms.to_vec();
         changed.push(newcomer.vm.clone());
-        return Some(changed);
+        return Some(GroupMembers { vms: changed, swap: None });
     }
     if standby.is_empty() && vms.len() <= n_wanted {
         return None;
@@ -132,5 +141,25 @@
     // A member that came back while a spare took its place: one is too many.
     let gone = gone.or_else(|| others().next_back().filter(|_| is_too_large))?;
     let changed: Vec<VmName> = vms.iter().filter(|it| *it != gone).cloned().collect();
-    (changed.len() / 2 < n_live).then_some(changed)
+    (changed.len() / 2 < n_live).then_some(GroupMembers { vms: changed, swap: None })
+}
+
+/// The group at the end of a swap, once that is due: only the group before the swap or the one after
+/// it may follow, as their quorums are part of the swap's.
+pub fn swapped_group(
+    members: &GroupMembers,
+    swap: &MemberSwap,
+    own: &VmName,
+    pending: Option<(&VmName, u64)>,
+    candidates: &[GroupCandidate],
+) -> Option<Vec<VmName>> {
+    if let Some((vm, pending_ms)) = pending.filter(|(vm, _)| **vm == swap.joining) {
+        return withdrawn_group(&members.vms, vm, pending_ms, candidates);
+    }
+    let find = |vm: &VmName| candidates.iter().find(|it| it.vm == *vm);
+    let has_returned = find(&swap.leaving).is_some_and(is_live);
+    let is_undone = has_returned && swap.joining != *own;
+    let dropped = if is_undone { &swap.joining } else { &swap.leaving };
+    // A leader that leaves hands over its leadership first.
+    (dropped != own).then(|| members.without(dropped))
 }
--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -11,7 +11,12 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use crate::{cell::route_plan::RoutePlan, prelude::*, workspace_template};
+use crate::{
+    cell::route_plan::RoutePlan,
+    group_members::{GroupMembers, MemberSwap},
+    prelude::*,
+    workspace_template,
+};
 
 /// Change ids whose first answer is kept.
 const MAX_KEPT_ANSWERS: usize = 10_000;
@@ -65,12 +70,18 @@
     PutPlan(StoredPlan),
     /// Read the plan in force, as of this position in the log.
     ReadPlan,
-    /// Change the VMs of the control group, by one more or one less.
+    /// Change the VMs of the control group, by one more or one less, or end a swap of members.
     SetGroup(Vec<VmName>),
+    /// Add the joining VM to the control group, which is to take the leaving one's place.
+    BeginSwap(Vec<VmName>, MemberSwap),
 }
 
 /// Number of [`ConfigCommand::SetGroup`] in an encoded command.
 const SET_GROUP_NUMBER: u32 = 4;
+/// Number of [`ConfigCommand::BeginSwap`] in an encoded command.
+const BEGIN_SWAP_NUMBER: u32 = 5;
+/// Encoded form of a state's field `swap` without one.
+const NO_SWAP: u8 = 0;
 
 /// Routes with the text that they came in.
 #[derive(Data!)]
@@ -212,6 +223,9 @@
     first_generations: IndexMap<DataCentre, GenerationId>,
     plan: Option<StoredPlan>,
     group: ControlGroup,
+    /// The swap that the group's last change began. It is the last field, as states that were stored
+    /// before it was added end without it.
+    swap: Option<MemberSwap>,
 }
 
 impl ConfigState {
@@ -221,26 +235,36 @@
     ///
     /// When the bytes are no such state.
     pub fn decode(bytes: &[u8]) -> Result<ConfigState, postcard::Error> {
-        postcard::from_bytes(bytes)
+        postcard::from_bytes(bytes).or_else(|error| {
+            let mut with_swap = bytes.to_vec();
+            with_swap.push(NO_SWAP);
+            postcard::from_bytes(&with_swap).map_err(|_| error)
+        })
     }
 
     /// The group that an encoded command sets, if it is such a command.
-    pub fn group_in_command(bytes: &[u8]) -> Option<Vec<VmName>> {
+    pub fn group_in_command(bytes: &[u8]) -> Option<GroupMembers> {
         // Other commands are as large as all routes, so they are not decoded.
         let (number, _) = postcard::take_from_bytes::<u32>(bytes).ok()?;
-        if number != SET_GROUP_NUMBER {
+        if ![SET_GROUP_NUMBER, BEGIN_SWAP_NUMBER].contains(&number) {
             return None;
         }
         match postcard::from_bytes(bytes) {
-            Ok(ConfigCommand::SetGroup(vms)) if !vms.is_empty() => Some(vms),
+            Ok(ConfigCommand::SetGroup(vms)) if !vms.is_empty() => {
+                Some(GroupMembers { vms, swap: None })
+            }
+            Ok(ConfigCommand::BeginSwap(vms, swap)) if swap.is_among(&vms) => {
+                Some(GroupMembers { vms, swap: Some(swap) })
+            }
             _ => None,
         }
     }
 
     /// The group in an encoded state, if it has been set.
-    pub fn group_in_state(bytes: &[u8]) -> Option<Vec<VmName>> {
+    pub fn group_in_state(bytes: &[u8]) -> Option<GroupMembers> {
         let state = ConfigState::decode(bytes).ok()?;
-        Some(state.group.vms).filter(|it| !it.is_empty())
+        let members = GroupMembers { vms: state.group.vms, swap: state.swap };
+        Some(members).filter(|it| !it.vms.is_empty())
     }
 
     /// Bytes for a snapshot.
@@ -283,6 +307,16 @@
             }
             ConfigCommand::SetGroup(vms) => {
                 self.group = ControlGroup { version: self.group.version + 1, vms };
+                self.swap = None;
+                ConfigAnswer::GroupSet
+            }
+            ConfigCommand::BeginSwap(vms, swap) if !swap.is_among(&vms) => {
+                let message = "a swap names two VMs of the control group";
+                ConfigAnswer::Refused(RequestError::new(ErrorKind::InvalidChange, message))
+            }
+            ConfigCommand::BeginSwap(vms, swap) => {
+                self.group = ControlGroup { version: self.group.version + 1, vms };
+                self.swap = Some(swap);
                 ConfigAnswer::GroupSet
             }
         }
--- a/lib/src/control_membership.rs
+++ b/lib/src/control_membership.rs
@@ -11,6 +11,7 @@
     },
     config_state::{ConfigCommand, ConfigState, ControlGroup},
     control_node::{ControlNode, GroupRule},
+    group_members::GroupMembers,
     log_group::ProposalWaiter,
     prelude::*,
     replica_log::EntryPayload,
@@ -100,15 +101,18 @@
         self.group_checked_at = now;
         let known = self.state().group();
         let changed = if known.vms.is_empty() {
-            Some(self.node().vms().to_vec())
+            Some(GroupMembers { vms: self.node().vms().to_vec(), swap: None })
         } else {
             self.track_pending_vm(now);
             self.changed_group(n_wanted, now)
         };
         if let Some(changed) = changed {
             let former = self.node().vms();
-            let added = changed.iter().find(|it| !former.contains(it)).cloned();
-            let command = ConfigCommand::SetGroup(changed);
+            let added = changed.vms.iter().find(|it| !former.contains(it)).cloned();
+            let command = match changed.swap {
+                Some(swap) => ConfigCommand::BeginSwap(changed.vms, swap),
+                None => ConfigCommand::SetGroup(changed.vms),
+            };
             let bytes = postcard::to_stdvec(&command).unwrap_or_default();
             let waiter = ProposalWaiter { vm: self.settings.owner.vm.clone(), request: 0 };
             self.group.propose(waiter, bytes);
@@ -120,26 +124,36 @@
     }
 
     /// The group to propose, if a change is due and the one before it is committed.
-    fn changed_group(&mut self, n_wanted: usize, now: ClockTime) -> Option<Vec<VmName>> {
+    fn changed_group(&mut self, n_wanted: usize, now: ClockTime) -> Option<GroupMembers> {
         if !self.node().may_change_group() {
             return None;
         }
         let candidates = self.group_candidates(now);
-        let vms = self.node().vms().to_vec();
-        if let Some((vm, since)) = self.pending_vm.clone() {
-            let pending_ms = now.since_ms(since);
-            let changed = control_group::withdrawn_group(&vms, &vm, pending_ms, &candidates)?;
-            self.withdrawn_vm = Some(vm);
-            return Some(changed);
+        let members = self.node().members().clone();
+        let vms = &members.vms;
+        let pending = self.pending_vm.clone();
+        let pending = pending.as_ref().map(|(vm, since)| (vm, now.since_ms(*since)));
+        if let Some(swap) = &members.swap {
+            let own = &self.settings.owner.vm;
+            let changed = control_group::swapped_group(&members, swap, own, pending, &candidates)?;
+            if !changed.contains(&swap.joining) {
+                self.withdrawn_vm = Some(swap.joining.clone());
+            }
+            return Some(GroupMembers { vms: changed, swap: None });
+        }
+        if let Some((vm, pending_ms)) = pending {
+            let changed = control_group::withdrawn_group(vms, vm, pending_ms, &candidates)?;
+            self.withdrawn_vm = Some(vm.clone());
+            return Some(GroupMembers { vms: changed, swap: None });
         }
         // Voters of VMs that left the group are removed first.
         if !self.voters_match_vms() {
             return None;
         }
         let own = &self.settings.owner.vm;
-        let changed = control_group::next_group(&vms, own, n_wanted, &candidates)?;
+        let changed = control_group::next_group(vms, own, n_wanted, &candidates)?;
         let has_log = |vm: &VmName| candidates.iter().any(|it| it.vm == *vm && it.has_log);
-        if changed.iter().all(|it| vms.contains(it) || has_log(it)) {
+        if changed.vms.iter().all(|it| vms.contains(it) || has_log(it)) {
             self.awaits_log_since = None;
             return Some(changed);
         }
--- a/lib/src/replica_election.rs
+++ b/lib/src/replica_election.rs
@@ -90,8 +90,7 @@
     }
 
     fn count_votes(&mut self, phase: VotePhase, now: ClockTime) {
-        let n_votes = self.votes.iter().filter(|it| self.counts(it)).count();
-        if n_votes < self.quorum() {
+        if !self.is_quorum(|it| self.votes.contains(it)) {
             return;
         }
         match phase {
@@ -174,17 +173,21 @@
         self.flush(now);
     }
 
+    /// Whether a replica is this leader or answered it within an election timeout.
+    fn responds(&self, id: &ReplicaId, now: ClockTime) -> bool {
+        let is_recent = |at: ClockTime| now.since_ms(at) <= self.settings.election_ms;
+        let progress = self.progress.get(id);
+        *id == self.hard.id || progress.is_some_and(|it| is_recent(it.last_contact_at))
+    }
+
     /// Voters that answered this leader within an election timeout, and this leader.
     pub fn n_responding_voters(&self, now: ClockTime) -> usize {
-        let n_others = self.progress.iter().filter(|(id, it)| {
-            self.counts(id) && now.since_ms(it.last_contact_at) <= self.settings.election_ms
-        });
-        n_others.count() + usize::from(self.counts(&self.hard.id))
+        self.voters().iter().filter(|it| self.counts(it) && self.responds(it, now)).count()
     }
 
     /// Steps down when no quorum has responded within an election timeout.
     pub(crate) fn step_down_without_quorum(&mut self, now: ClockTime) {
-        if self.quorum() <= self.n_responding_voters(now) {
+        if self.is_quorum(|it| self.responds(it, now)) {
             return;
         }
         self.leader = None;
--- a/lib/src/replica_node.rs
+++ b/lib/src/replica_node.rs
@@ -4,8 +4,8 @@
 //! steps down when no quorum responds, snapshots and membership changes by
 //! a single server. Three things differ.
 //!
-//! - The quorum is a majority of the group's VMs, whatever the number of voters at the
-//!   moment. A VM holds one voter at most. Where the log changes the group, the newest
+//! - The quorum is one of the group's VMs, whatever the number of voters at the
+//!   moment; see [`GroupMembers`]. A VM holds one voter at most. Where the log changes the group, the newest
 //!   group in it is in force from when it is appended; see [`GroupReader`].
 //! - A replica that lost its state is another replica: it has a new id and does not
 //!   vote until a membership change has admitted it.
@@ -20,6 +20,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
+    group_members::GroupMembers,
     prelude::*,
     replica_effect::{HardState, ReplicaEffect, StoreEffect},
     replica_log::{EntryPayload, LogEntry, LogSnapshot, ReplicaLog},
@@ -74,9 +75,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct GroupReader {
     /// The VMs that a command sets, if it does.
-    pub in_command: fn(&[u8]) -> Option<Vec<VmName>>,
+    pub in_command: fn(&[u8]) -> Option<GroupMembers>,
     /// The VMs as of an encoded state, if they were set.
-    pub in_state: fn(&[u8]) -> Option<Vec<VmName>>,
+    pub in_state: fn(&[u8]) -> Option<GroupMembers>,
 }
 
 /// Role of a replica.
@@ -131,11 +132,13 @@
 #[derive(Debug)]
 pub struct ReplicaNode {
     pub(crate) settings: ReplicaSettings,
-    group_reader: Option<GroupReader>,
-    /// VMs as of the snapshot, if a log that changes the group has set them.
-    snapshot_vms: Option<Vec<VmName>>,
-    /// VMs as of the newest entry, if the log has set them.
-    log_vms: Option<Vec<VmName>>,
+    pub(crate) group_reader: Option<GroupReader>,
+    /// Group as of the snapshot, if a log that changes the group has set it.
+    pub(crate) snapshot_members: Option<GroupMembers>,
+    /// Group in force.
+    pub(crate) members: GroupMembers,
+    /// Whether the log or its snapshot has set the group in force.
+    pub(crate) log_sets_group: bool,
     pub(crate) hard: HardState,
     pub(crate) log: ReplicaLog,
     pub(crate) commit: u64,
@@ -198,10 +201,11 @@
             effects.push(ReplicaEffect::Restore(log.snapshot().clone()));
         }
         let mut node = ReplicaNode {
+            members: GroupMembers { vms: settings.vms.clone(), swap: None },
             settings,
             group_reader: None,
-            snapshot_vms: None,
-            log_vms: None,
+            snapshot_members: None,
+            log_sets_group: false,
             hard,
             log,
             commit,
@@ -232,7 +236,7 @@
     /// Lets the log change the group.
     pub fn with_group_reader(mut self, reader: GroupReader) -> ReplicaNode {
         self.group_reader = Some(reader);
-        self.read_snapshot_vms();
+        self.read_snapshot_members();
         self
     }
 
@@ -286,25 +290,6 @@
         self.log.voters_at(self.log.last_index())
     }
 
-    /// VMs of the group: the newest that the log or its snapshot holds, else those given.
-    pub fn vms(&self) -> &[VmName] {
-        self.log_vms.as_deref().unwrap_or(&self.settings.vms)
-    }
-
-    /// Stores the VMs of a group whose log this replica does not have yet.
-    ///
-    /// A log that names a group is never overruled.
-    pub fn learn_vms(&mut self, vms: &[VmName]) {
-        if self.log_vms.is_some() {
-            return;
-        }
-        self.settings.vms = vms.to_vec();
-        if self.hard.vms != vms {
-            self.hard.vms = vms.to_vec();
-            self.save_hard_state();
-        }
-    }
-
     /// Sets further VMs to ask for a leader, where the log may name a former group.
     pub fn set_contacts(&mut self, vms: &[VmName]) {
         if self.contacts != vms {
@@ -328,57 +313,6 @@
         }
     }
 
-    /// Whether this replica may append a change of the group or of its voters.
-    ///
-    /// Majorities before and after a change overlap only if the one before it is committed,
-    /// and an entry of the leader's own term as well (Ongaro, 2015).
-    pub fn may_change_group(&self) -> bool {
-        let is_change = |it: &LogEntry| match &it.payload {
-            EntryPayload::Voters(_) => true,
-            EntryPayload::Command(command) => self.vms_in_command(command).is_some(),
-            EntryPayload::Noop => false,
-        };
-        let first = self.commit.max(self.log.snapshot().index) + 1;
-        let pending = self.log.entries_from(first, usize::MAX, usize::MAX);
-        self.is_settled_leader() && !pending.iter().any(is_change)
-    }
-
-    fn vms_in_command(&self, command: &[u8]) -> Option<Vec<VmName>> {
-        (self.group_reader?.in_command)(command)
-    }
-
-    /// Finds the group in force after the snapshot was replaced.
-    fn read_snapshot_vms(&mut self) {
-        let state = &self.log.snapshot().state;
-        self.snapshot_vms = self.group_reader.and_then(|it| (it.in_state)(state));
-        self.update_vms();
-    }
-
-    /// Finds the group in force after entries were appended or dropped.
-    pub(crate) fn update_vms(&mut self) {
-        if self.group_reader.is_some() {
-            let newest = self.vms_at(self.log.last_index());
-            self.log_vms = newest;
-        }
-    }
-
-    /// The newest group that the log sets up to `index`.
-    fn vms_at(&self, index: u64) -> Option<Vec<VmName>> {
-        let first = self.log.snapshot().index + 1;
-        let entries = self.log.entries_from(first, usize::MAX, usize::MAX);
-        let newest =
-            entries.iter().rev().filter(|it| it.index <= index).find_map(|it| match &it.payload {
-                EntryPayload::Command(command) => self.vms_in_command(command),
-                EntryPayload::Noop | EntryPayload::Voters(_) => None,
-            });
-        newest.or_else(|| self.snapshot_vms.clone())
-    }
-
-    /// Whether the vote of a replica counts: it is a voter, on a VM of the group.
-    pub(crate) fn counts(&self, id: &ReplicaId) -> bool {
-        self.voters().contains(id) && self.vms().contains(&id.vm)
-    }
-
     /// Forgets the log of a group that this VM no longer belongs to.
     pub fn leave_group(&mut self, now: ClockTime) {
         if self.role != ReplicaRole::Fresh {
@@ -386,14 +320,6 @@
         }
     }
 
-    /// Replicas needed for a commit or an election; out of reach while the group is unknown.
-    pub fn quorum(&self) -> usize {
-        if self.vms().is_empty() {
-            return usize::MAX;
-        }
-        self.vms().len() / 2 + 1
-    }
-
     /// VMs whose replica answered this leader within an election timeout.
     pub fn reachable_vms(&self, now: ClockTime) -> Vec<VmName> {
         let responding = self
@@ -465,7 +391,7 @@
         if self.applied <= self.log.snapshot().index {
             return;
         }
-        self.snapshot_vms = self.vms_at(self.applied);
+        self.snapshot_members = self.members_at(self.applied);
         self.log.compact(self.applied, state);
         let snapshot = self.log.snapshot().clone();
         self.effects.push(ReplicaEffect::Store(StoreEffect::SaveSnapshot(snapshot)));
@@ -511,7 +437,7 @@
         }
         // A leader sends its log to VMs that may join its group, before they are added.
         let may_learn = self.role == ReplicaRole::Leader
-            && self.log_vms.is_some()
+            && self.log_sets_group
             && matches!(message.body, ReplicaBody::JoinRequest | ReplicaBody::LeaderLost);
         let is_from_group = may_learn || self.vms().contains(&message.from.vm);
         match message.body {
@@ -569,12 +495,13 @@
         let id = ReplicaId { vm: self.hard.id.vm.clone(), incarnation };
         let may_bootstrap = self.hard.may_bootstrap();
         let mut vms = std::mem::take(&mut self.hard.vms);
-        if let Some(known) = self.log_vms.take() {
-            self.settings.vms.clone_from(&known);
-            vms = known;
+        if std::mem::take(&mut self.log_sets_group) {
+            vms.clone_from(&self.members.vms);
+            self.settings.vms.clone_from(&vms);
             self.settings.bootstrap_rule = BootstrapRule::Never;
         }
-        self.snapshot_vms = None;
+        self.members = GroupMembers { vms: self.settings.vms.clone(), swap: None };
+        self.snapshot_members = None;
         self.hard = HardState {
             id: id.clone(),
             generation: None,
@@ -663,7 +590,7 @@
         let index = self.log.last_index() + 1;
         let entry = LogEntry { index, term: self.hard.term, payload };
         self.log.push(entry.clone());
-        self.update_vms();
+        self.update_members();
         self.effects.push(ReplicaEffect::Store(StoreEffect::Append(vec![entry])));
         index
     }
@@ -685,7 +612,7 @@
         self.commit = snapshot.index;
         self.applied = snapshot.index;
         self.log.install(snapshot.clone());
-        self.read_snapshot_vms();
+        self.read_snapshot_members();
         self.effects.push(ReplicaEffect::Store(StoreEffect::SaveSnapshot(snapshot.clone())));
         self.effects.push(ReplicaEffect::Restore(snapshot));
     }
--- a/lib/src/replica_replication.rs
+++ b/lib/src/replica_replication.rs
@@ -188,7 +188,7 @@
         for entry in &new_entries {
             self.log.push(entry.clone());
         }
-        self.update_vms();
+        self.update_members();
         self.effects.push(ReplicaEffect::Store(StoreEffect::Append(new_entries)));
     }
 
@@ -258,21 +258,14 @@
 
     /// Commits what a quorum of voters holds, once it includes an entry of this term.
     fn advance_commit(&mut self) {
-        let mut matched: Vec<u64> = self
-            .progress
-            .iter()
-            .filter(|(id, _)| self.counts(id))
-            .map(|(_, it)| it.matched)
-            .collect();
-        if self.counts(&self.hard.id) {
-            matched.push(self.log.last_index());
-        }
-        let quorum = self.quorum();
-        if matched.len() < quorum {
-            return;
-        }
-        matched.sort_unstable_by(|lhs, rhs| rhs.cmp(lhs));
-        let index = matched[quorum - 1];
+        let matched = |id: &ReplicaId| match self.progress.get(id) {
+            _ if *id == self.hard.id => self.log.last_index(),
+            Some(progress) => progress.matched,
+            None => 0,
+        };
+        let held = self.voters().iter().map(matched);
+        let index = held.filter(|index| self.is_quorum(|it| *index <= matched(it))).max();
+        let Some(index) = index else { return };
         if self.commit < index && self.log.term_at(index) == Some(self.hard.term) {
             self.commit = index;
             self.apply_committed();
--- a/lib/tests/test_control_group.rs
+++ b/lib/tests/test_control_group.rs
@@ -4,6 +4,7 @@
     cell::{cell_message::CellHeartbeat, route_plan::RoutePlan},
     config_state::{ConfigAnswer, ConfigCommand, ConfigState, ControlGroup, StoredPlan},
     control_node::{ControlEffect, ControlNode, ControlSettings, GroupRule},
+    group_members::{GroupMembers, MemberSwap},
     job_ledger::OwnerId,
     peer_message::PeerDatagram,
     prelude::*,
@@ -114,11 +115,22 @@
     let vms = vec![VmName::from("10.0.0.1"), VmName::from("10.0.0.4")];
     let encode = |it: &ConfigCommand| postcard::to_stdvec(it).unwrap();
     let command = encode(&ConfigCommand::SetGroup(vms.clone()));
-    assert_eq!(ConfigState::group_in_command(&command), Some(vms.clone()));
+    let members = GroupMembers { vms: vms.clone(), swap: None };
+    assert_eq!(ConfigState::group_in_command(&command), Some(members.clone()));
     let mut state = ConfigState::default();
     assert_eq!(ConfigState::group_in_state(&state.encode()), None);
     state.apply(ConfigCommand::SetGroup(vms.clone()));
-    assert_eq!(ConfigState::group_in_state(&state.encode()), Some(vms));
+    assert_eq!(ConfigState::group_in_state(&state.encode()), Some(members.clone()));
+    // States that were stored before there were swaps end without the last byte.
+    let mut former = state.encode();
+    assert_eq!(former.pop(), Some(0));
+    assert_eq!(ConfigState::group_in_state(&former), Some(members));
+    let swap = MemberSwap { leaving: vms[0].clone(), joining: vms[1].clone() };
+    let begun = ConfigCommand::BeginSwap(vms.clone(), swap.clone());
+    let members = GroupMembers { vms, swap: Some(swap) };
+    assert_eq!(ConfigState::group_in_command(&encode(&begun)), Some(members.clone()));
+    state.apply(begun);
+    assert_eq!(ConfigState::group_in_state(&state.encode()), Some(members));
     let centre = DataCentre::from("munich");
     let others = [
         ConfigCommand::ReadPlan,
--- a/lib/tests/test_control_restart/main.rs
+++ b/lib/tests/test_control_restart/main.rs
@@ -7,6 +7,7 @@
 mod bootstrap;
 mod membership;
 mod series;
+mod slow_disks;
 mod world;
 
 use crate::world::{CATCH_UP_MS, ELECTION_MS, RECOVERY_MS, World, vm};
--- a/lib/tests/test_control_restart/world.rs
+++ b/lib/tests/test_control_restart/world.rs
@@ -69,6 +69,8 @@
 pub(crate) struct World {
     pub(crate) now: ClockTime,
     pub(crate) n_wanted: usize,
+    /// Election timeout of the VMs that are started from now on.
+    pub(crate) election_ms: u64,
     /// Highest number of a VM so far.
     pub(crate) last_number: usize,
     pub(crate) rng: ChaCha8Rng,
@@ -85,6 +87,10 @@
     pub(crate) mute: BTreeSet<VmName>,
     /// VMs that get datagrams but no messages.
     pub(crate) deaf: BTreeSet<VmName>,
+    /// Time of a sync, by VM; a process does nothing else meanwhile.
+    pub(crate) sync_ms: BTreeMap<VmName, u64>,
+    /// Until when a VM's process waits for its disk.
+    pub(crate) syncs_until: BTreeMap<VmName, ClockTime>,
     pub(crate) calls: IndexMap<(VmName, u64), Call>,
     pub(crate) next_call: u64,
     pub(crate) next_version: u64,
@@ -117,6 +123,7 @@
         World {
             now: ClockTime(1_000_000),
             n_wanted,
+            election_ms: ELECTION_MS,
             last_number: 5,
             rng: ChaCha8Rng::seed_from_u64(seed),
             nodes: BTreeMap::new(),
@@ -128,6 +135,8 @@
             alarms: Vec::new(),
             mute: BTreeSet::new(),
             deaf: BTreeSet::new(),
+            sync_ms: BTreeMap::new(),
+            syncs_until: BTreeMap::new(),
             calls: IndexMap::new(),
             next_call: 0,
             next_version: 0,
@@ -156,7 +165,7 @@
                 address: format!("{name}:1"),
             }]),
             group_rule: GroupRule::Dynamic { bootstrap_vms, seeds, n_wanted: self.n_wanted },
-            election_ms: ELECTION_MS,
+            election_ms: self.election_ms,
             heartbeat_ms: 100,
             seed: self.rng.random(),
         };
@@ -220,6 +229,10 @@
     }
 
     pub(crate) fn step(&mut self) {
+        if !self.sync_ms.is_empty() {
+            self.step_with_syncs();
+            return;
+        }
         self.now = self.now.plus_ms(STEP_MS);
         while let Some(entry) = self.waiting.first_entry() {
             if self.now < entry.key().0 {
@@ -248,10 +261,42 @@
         }
     }
 
+    /// A step in which each process handles all that has arrived, and then syncs once.
+    fn step_with_syncs(&mut self) {
+        self.now = self.now.plus_ms(STEP_MS);
+        let is_busy = |it: &VmName| self.syncs_until.get(it).is_some_and(|at| self.now < *at);
+        let running = self.nodes.keys().filter(|it| !self.frozen.contains(*it) && !is_busy(it));
+        for name in running.cloned().collect::<Vec<_>>() {
+            let due = self.waiting.range(..(self.now, u64::MAX));
+            let own = due.filter(|(_, (_, to, _))| *to == name).map(|(key, _)| *key);
+            for key in own.collect::<Vec<_>>() {
+                let Some((from, to, wire)) = self.waiting.remove(&key) else { continue };
+                if self.deaf.contains(&to) && matches!(wire, Wire::Message(_)) {
+                    continue;
+                }
+                let Some(node) = self.nodes.get_mut(&to) else { continue };
+                match wire {
+                    Wire::Message(it) => node.handle_message(&from, it, self.now),
+                    Wire::Datagram(it) => node.handle_datagram(&from, it, self.now),
+                }
+            }
+            self.nodes.get_mut(&name).unwrap().tick(self.now);
+            self.run_effects(&name);
+        }
+        let (nodes, now) = (&self.nodes, self.now);
+        self.waiting.retain(|(at, _), (_, to, _)| now <= *at || nodes.contains_key(to));
+    }
+
     pub(crate) fn run_effects(&mut self, name: &VmName) {
         let node = self.nodes.get_mut(name).unwrap();
         node.flush(self.now);
-        for effect in node.drain_effects() {
+        let effects = node.drain_effects();
+        if effects.iter().any(|it| matches!(it, ControlEffect::Store(_)))
+            && let Some(sync_ms) = self.sync_ms.get(name)
+        {
+            self.syncs_until.insert(name.clone(), self.now.plus_ms(*sync_ms));
+        }
+        for effect in effects {
             match effect {
                 ControlEffect::Store(it) => self.disks.get_mut(name).unwrap().commit(it),
                 ControlEffect::Send(to, message) => self.send(name, &to, Wire::Message(message)),
@@ -306,7 +351,9 @@
         if self.n_sent.is_multiple_of(self.loses_one_in) || self.mute.contains(from) {
             return;
         }
-        let due_at = self.now.plus_ms(self.n_sent * 7 % 25);
+        // What a sync makes durable is sent after it.
+        let sent_at = self.syncs_until.get(from).map_or(self.now, |it| self.now.max(*it));
+        let due_at = sent_at.plus_ms(self.n_sent * 7 % 25);
         self.waiting.insert((due_at, self.n_sent), (from.clone(), to.clone(), wire));
     }
 
--- a/lib/tests/test_replica_rules.rs
+++ b/lib/tests/test_replica_rules.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexSet;
 use yuccamux::{
+    group_members::GroupMembers,
     prelude::*,
     replica_effect::{HardState, ReplicaEffect},
     replica_log::{EntryPayload, LogEntry, LogSnapshot, ReplicaLog},
@@ -210,7 +211,12 @@
 #[test]
 fn group_counts_from_when_it_is_appended_until_it_is_truncated() {
     let reader = GroupReader {
-        in_command: |bytes| (bytes == [9]).then(|| ["a", "b", "c", "d"].map(VmName::from).to_vec()),
+        in_command: |bytes| {
+            (bytes == [9]).then(|| GroupMembers {
+                vms: ["a", "b", "c", "d"].map(VmName::from).to_vec(),
+                swap: None,
+            })
+        },
         in_state: |_| None,
     };
     let mut node = member(0).with_group_reader(reader);
