--- a/adapters/src/control_service.rs
+++ b/adapters/src/control_service.rs
@@ -14,6 +14,7 @@
     config_state::{ChangeRecord, ConfigChange, ConfigImage, ConfigState, StoredPlan},
     control_node::{ControlEffect, ControlNode, ControlSettings},
     entry_node::CallNumber,
+    group_members::{GroupMembers, MemberSwap},
     peer_message::PeerDatagram,
     prelude::*,
 };
@@ -182,6 +183,17 @@
     }
 }
 
+fn log_group(members: &GroupMembers) {
+    let vms: Vec<&str> = members.vms.iter().map(VmName::as_str).collect();
+    let vms = vms.join(", ");
+    match &members.swap {
+        Some(MemberSwap { leaving, joining }) => {
+            info!("control group: {vms}; {joining} takes the place of {leaving}");
+        }
+        None => info!("control group: {vms}"),
+    }
+}
+
 fn thread_stopped() -> RequestError {
     RequestError::new(ErrorKind::NoLeader, "the control thread has stopped")
 }
@@ -386,6 +398,7 @@
                     }
                 }
                 ControlEffect::ToleranceChanged(change) => self.log_tolerance(change),
+                ControlEffect::GroupChanged(members) => log_group(&members),
                 ControlEffect::RoleChanged(role) => info!("configuration log: role {role:?}"),
                 ControlEffect::Version(version) => {
                     info!("configuration version {version} accepted")
--- a/lib/src/control_node.rs
+++ b/lib/src/control_node.rs
@@ -17,6 +17,7 @@
         ConfigAnswer, ConfigChange, ConfigCommand, ConfigImage, ConfigState, StoredPlan,
     },
     entry_node::CallNumber,
+    group_members::{GroupMembers, MemberSwap},
     job_dispatcher::PeerLoad,
     job_ledger::OwnerId,
     log_group::{GroupEffect, LogGroup, ProposalAnswer, ProposalWaiter, StateFunctions},
@@ -99,6 +100,8 @@
     },
     /// The alarm on the group's tolerance has changed.
     ToleranceChanged(ToleranceChange),
+    /// Another group is in force here, from when it was appended to this VM's log.
+    GroupChanged(GroupMembers),
     /// The role has changed.
     RoleChanged(ReplicaRole),
     /// A configuration version is in force here.
@@ -110,6 +113,7 @@
     pub(crate) settings: ControlSettings,
     pub(crate) centre: DataCentre,
     group_vms: Vec<VmName>,
+    group_swap: Option<MemberSwap>,
     pub(crate) group: LogGroup<ConfigState>,
     client: ProposalClient,
     calls: IndexMap<u64, CallNumber>,
@@ -203,6 +207,7 @@
             settings,
             centre,
             group_vms,
+            group_swap: None,
             group: LogGroup::new(node, functions, COMPACT_ENTRIES),
             calls: IndexMap::new(),
             peers: PeerTable::new(),
@@ -586,8 +591,12 @@
                 GroupEffect::NewIncarnation(_) => self.announced_group = 0,
             }
         }
-        if self.group_vms != self.node().vms() {
-            self.group_vms = self.node().vms().to_vec();
+        let members = self.node().members();
+        if self.group_vms != members.vms || self.group_swap != members.swap {
+            let members = members.clone();
+            self.group_vms.clone_from(&members.vms);
+            self.group_swap.clone_from(&members.swap);
+            self.effects.push(ControlEffect::GroupChanged(members));
         }
         self.push_new_version();
         self.push_new_plan(now);
--- a/lib/tests/test_control_restart/world.rs
+++ b/lib/tests/test_control_restart/world.rs
@@ -329,6 +329,7 @@
                     self.alarms.push((name.clone(), it));
                 }
                 ControlEffect::RoleChanged(_)
+                | ControlEffect::GroupChanged(_)
                 | ControlEffect::Version(_)
                 | ControlEffect::EndpointsRepeated { .. } => {}
             }
--- a/testutils/src/system_world.rs
+++ b/testutils/src/system_world.rs
@@ -394,6 +394,7 @@
                 ControlEffect::AnswerChange(call, result) => self.end_change(vm, call, result),
                 ControlEffect::Store(_)
                 | ControlEffect::RoleChanged(_)
+                | ControlEffect::GroupChanged(_)
                 | ControlEffect::Version(_)
                 | ControlEffect::EndpointsRepeated { .. }
                 | ControlEffect::ToleranceChanged(_)
