dispatch: a task names the incarnation of the endpoint that it is for

Callers could see: a task that runs on an endpoint which doesn't serve its kind, within the second until the endpoint's next announcement.

Cause: an entry chooses an endpoint by the kinds and slots of its announcement and sends the task to its address. One that has started again since, as another kind, ran the task.

Change: a task carries Yuccamux-Incarnation, the incarnation that was announced. An endpoint that has another one refuses it with 503 and Yuccamux-Ran: not_run, which the dispatcher takes as proof that it did not start. The stand-in does so.

--- a/adapters/src/http_server.rs
+++ b/adapters/src/http_server.rs
@@ -40,6 +40,8 @@
 
 /// Response header that states whether the work has run.
 pub const RAN_HEADER: &str = "yuccamux-ran";
+/// Header of a task with the incarnation of the endpoint that it is for.
+pub const INCARNATION_HEADER: &str = "yuccamux-incarnation";
 
 /// A request as passed to handlers.
 pub type HttpRequest = Request<RequestBody>;
--- a/adapters/src/job_service.rs
+++ b/adapters/src/job_service.rs
@@ -36,6 +36,7 @@
     endpoint_client::EndpointClient,
     entry_control::{ControlHandle, JobServiceInput},
     entry_metrics::{DispatcherView, EntryMetrics, SubmissionPhase},
+    http_server::INCARNATION_HEADER,
     wall_clock::WallClock,
 };
 
@@ -213,9 +214,10 @@
     fn run_effects(self: &Arc<Self>, mut state: MutexGuard<'_, JobServiceState>) {
         for effect in state.dispatcher.drain_effects() {
             match effect {
-                DispatchEffect::Start { task, id, endpoint, address } => {
+                DispatchEffect::Start { task, id, endpoint, address, incarnation } => {
                     let Some(job) = state.active.get(&task.job) else { continue };
-                    let Some(request) = task_request(job, task, id, &address) else { continue };
+                    let Some(mut request) = task_request(job, task, id, &address) else { continue };
+                    request.headers_mut().insert(INCARNATION_HEADER, incarnation.into());
                     let left_ms = job.deadline.since_ms(self.clock.now());
                     let time_limit = Duration::from_millis(left_ms) + TASK_GRACE;
                     let queue_time = job.queued.elapsed();
--- a/adapters/tests/test_entry_http.rs
+++ b/adapters/tests/test_entry_http.rs
@@ -35,7 +35,9 @@
     connection_pool::ConnectionPool,
     control_service, entry_control,
     entry_http::{EntryHttp, EntryHttpSettings},
-    http_server::{self, CloseConnection, HttpAnswer, HttpRequest, ServerLimits},
+    http_server::{
+        self, CloseConnection, HttpAnswer, HttpRequest, INCARNATION_HEADER, ServerLimits,
+    },
     job_service::JobService,
     link_key::LinkKeys,
     peer_link::{AddressBook, LinkSockets},
@@ -242,8 +244,11 @@
     holds: &AtomicBool,
 ) -> HttpAnswer {
     let path = request.uri().path().to_owned();
+    let incarnation = http_server::header_text(request.headers(), INCARNATION_HEADER);
+    let is_for_announced = incarnation == Some("1");
     let body = http_server::read_body(request.into_body(), &ServerLimits::default()).await.unwrap();
-    if let Some(task) = path.strip_prefix("/tasks/") {
+    // A task that doesn't name the incarnation that was announced is missing in the starts.
+    if let Some(task) = path.strip_prefix("/tasks/").filter(|_| is_for_announced) {
         starts.lock().unwrap().push(task.to_owned());
     }
     while holds.load(Ordering::SeqCst) {
--- a/lib/src/dispatch_pass.rs
+++ b/lib/src/dispatch_pass.rs
@@ -225,7 +225,8 @@
             InFlightTask { kind: path.clone(), urgency, started_at: now, expected_ms };
         slots.in_flight.insert(task, in_flight_task);
         let address = slots.record.address.clone();
-        self.effects.push(DispatchEffect::Start { task, id, endpoint: name, address });
+        let incarnation = slots.record.incarnation;
+        self.effects.push(DispatchEffect::Start { task, id, endpoint: name, address, incarnation });
     }
 
     fn traced_options(
--- a/lib/src/job_dispatcher.rs
+++ b/lib/src/job_dispatcher.rs
@@ -46,6 +46,8 @@
         endpoint: EndpointName,
         /// Its host and port.
         address: String,
+        /// The incarnation that announced the kinds and slots by which it was chosen.
+        incarnation: u64,
     },
     /// Answer a job: its outputs in order, or why there are none.
     Finish(JobNumber, Result<Vec<Bytes>, RequestError>),
--- a/standin/src/standin_endpoint.rs
+++ b/standin/src/standin_endpoint.rs
@@ -23,8 +23,8 @@
 };
 use yuccamux_adapters::{
     http_server::{
-        CloseConnection, HttpAnswer, HttpRequest, RAN_HEADER, ServerLimits, header_text,
-        json_answer, read_body, text_answer,
+        CloseConnection, HttpAnswer, HttpRequest, INCARNATION_HEADER, RAN_HEADER, ServerLimits,
+        header_text, json_answer, read_body, text_answer,
     },
     wall_clock::WallClock,
 };
@@ -238,9 +238,14 @@
         request: HttpRequest,
     ) -> Result<HttpAnswer, CloseConnection> {
         let job = header_text(request.headers(), "yuccamux-job").unwrap_or("").to_owned();
+        let incarnation = header_text(request.headers(), INCARNATION_HEADER).map(str::parse);
+        if incarnation.is_some_and(|it| it != Ok(self.incarnation())) {
+            self.lock().counts.n_refused += 1;
+            return Ok(refused("another incarnation"));
+        }
         let body = match read_body(request.into_body(), &ServerLimits::default()).await {
             Ok(body) => body,
-            Err(_) => return Ok(refused()),
+            Err(_) => return Ok(refused("the input could not be read")),
         };
         let fault = self.script().fault;
         if fault == FaultMode::CloseBefore {
@@ -250,7 +255,7 @@
             Ok(permit) if fault != FaultMode::Refuse => permit,
             Ok(_) | Err(_) => {
                 self.lock().counts.n_refused += 1;
-                return Ok(refused());
+                return Ok(refused("no free slot"));
             }
         };
         let cancelled = self.record_start(task, &job);
@@ -350,8 +355,8 @@
     }
 }
 
-fn refused() -> HttpAnswer {
-    let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, "no free slot\n");
+fn refused(cause: &'static str) -> HttpAnswer {
+    let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, cause);
     answer.headers_mut().insert(RAN_HEADER, "not_run".parse().expect("a fixed header"));
     answer
 }
