endpoints: a connection whose endpoint does not identify itself is kept

Cause: an endpoint that refused to identify itself (503 while unhealthy) lost its connection with each withheld start, and each next start opened another one.

Change: such a connection becomes idle again, as after a refused start. The control worlds deliver what was sent in one place.

Measured: test_runner_calls and test_control_restart pass.

--- a/adapters/src/connection_pool.rs
+++ b/adapters/src/connection_pool.rs
@@ -203,7 +203,12 @@
                 None => match self.identify(&mut connection, identify.clone()).await {
                     Ok(it) => it,
                     Err(IncarnationError::Send(SendError::NotWritten(_))) if !is_new => continue,
-                    Err(error) => return Err(error),
+                    Err(error) => {
+                        if matches!(error, IncarnationError::Unidentified(_)) {
+                            self.return_idle(address, connection);
+                        }
+                        return Err(error);
+                    }
                 },
             };
             if answered == incarnation {
--- a/lib/tests/test_control_restart/world.rs
+++ b/lib/tests/test_control_restart/world.rs
@@ -244,15 +244,9 @@
                 self.waiting.insert(later, (from, to, wire));
                 continue;
             }
-            if self.deaf.contains(&to) && matches!(wire, Wire::Message(_)) {
-                continue;
-            }
-            let Some(node) = self.nodes.get_mut(&to) else { continue };
-            match wire {
-                Wire::Message(it) => node.handle_message(&from, it, self.now),
-                Wire::Datagram(it) => node.handle_datagram(&from, it, self.now),
+            if self.deliver(&from, &to, wire) {
+                self.run_effects(&to);
             }
-            self.run_effects(&to);
         }
         let running = self.nodes.keys().filter(|it| !self.frozen.contains(*it));
         for name in running.cloned().collect::<Vec<_>>() {
@@ -261,6 +255,19 @@
         }
     }
 
+    /// Whether a VM that is up has handled what was sent to it.
+    fn deliver(&mut self, from: &VmName, to: &VmName, wire: Wire) -> bool {
+        if self.deaf.contains(to) && matches!(wire, Wire::Message(_)) {
+            return false;
+        }
+        let Some(node) = self.nodes.get_mut(to) else { return false };
+        match wire {
+            Wire::Message(it) => node.handle_message(from, it, self.now),
+            Wire::Datagram(it) => node.handle_datagram(from, it, self.now),
+        }
+        true
+    }
+
     /// A step in which each process handles all that has arrived, and then syncs once.
     fn step_with_syncs(&mut self) {
         self.now = self.now.plus_ms(STEP_MS);
@@ -271,14 +278,7 @@
             let own = due.filter(|(_, (_, to, _))| *to == name).map(|(key, _)| *key);
             for key in own.collect::<Vec<_>>() {
                 let Some((from, to, wire)) = self.waiting.remove(&key) else { continue };
-                if self.deaf.contains(&to) && matches!(wire, Wire::Message(_)) {
-                    continue;
-                }
-                let Some(node) = self.nodes.get_mut(&to) else { continue };
-                match wire {
-                    Wire::Message(it) => node.handle_message(&from, it, self.now),
-                    Wire::Datagram(it) => node.handle_datagram(&from, it, self.now),
-                }
+                self.deliver(&from, &to, wire);
             }
             self.nodes.get_mut(&name).unwrap().tick(self.now);
             self.run_effects(&name);
