KNOWN-RED: the loss of a replacement after a slow first start

Varying the first start in virtual time shows a way that the swap does not cover: a seed whose disk stalls at the first start gives its place to the spare, so the member that is told to stop and the VM that is lost are both voters; with syncs of 300 ms the member ends before the seed votes again.

The head of group_members says which losses a swap bears.

--- a/lib/src/group_members.rs
+++ b/lib/src/group_members.rs
@@ -2,7 +2,7 @@
 //!
 //! A quorum is a majority of the VMs. While one VM takes another's place, the group has both, and a
 //! quorum is a majority of the group without the joining VM and of the group without the leaving one
-//! (joint consensus). So the leaving VM may end, and one other VM be lost, at any time of the swap,
+//! (joint consensus). So at any time of the swap the leaving VM may end and the joining one be lost,
 //! which a majority of an even number of VMs would not bear.
 
 use crate::prelude::*;
--- a/lib/tests/test_control_restart/slow_disks.rs
+++ b/lib/tests/test_control_restart/slow_disks.rs
@@ -15,9 +15,7 @@
 
 /// A planned replacement of VM 3 by VM 5, which is lost soon after the signal to stop.
 #[derive(Debug)]
-#[expect(dead_code, reason = "the message of a failure shows all fields")]
 struct PlannedLoss {
-    leader: usize,
     /// Time of a sync of each disk during the replacement, in ms.
     sync_ms: u64,
     /// When VM 5 is lost, after the signal.
@@ -76,11 +74,11 @@
         for (leader, lost_after_ms) in
             (1..=3).flat_map(|it| (0..=1_500).step_by(250).map(move |at| (it, at)))
         {
-            let plan = PlannedLoss { leader, sync_ms, lost_after_ms };
+            let plan = PlannedLoss { sync_ms, lost_after_ms };
             let mut world = World::with_spare(leader);
             world.lose_replacement(&plan);
             world.run_ms(25_000);
-            assert_eq!(world.members(), [vm(1), vm(2), vm(6)], "{plan:?}");
+            assert_eq!(world.members(), [vm(1), vm(2), vm(6)], "leader {leader}, {plan:?}");
             world.put_acknowledged();
             world.remove(&vm(2));
             world.run_ms(1_000);
@@ -90,3 +88,27 @@
         }
     }
 }
+
+/// A seed whose disk stalls at the first start gives its place to the spare, so that the member that is
+/// told to stop and the VM that is lost are both voters. With slow syncs the member ends before the seed
+/// has taken its place, and of three voters one is left (CONFIG, review case 6).
+#[test]
+#[ignore = "known red: issue 47"]
+fn replacement_lost_after_a_slow_first_start_ends_no_group() {
+    let mut world = World::empty(3, 1);
+    world.election_ms = PLATFORM_ELECTION_MS;
+    world.set_sync_ms(SYNC_MS);
+    world.sync_ms.insert(vm(2), 6_000);
+    for number in 1..=3 {
+        world.start_first(&vm(number), 3);
+    }
+    world.run_until(|it| it.leader().is_some());
+    world.put_acknowledged();
+    world.set_sync_ms(SYNC_MS);
+    world.run_ms(3_000);
+    world.start(&vm(5));
+    world.run_ms(2 * CATCH_UP_MS);
+    world.lose_replacement(&PlannedLoss { sync_ms: 300, lost_after_ms: 450 });
+    world.run_ms(25_000);
+    assert_eq!(world.members().len(), 3);
+}
